--- /dev/null
+++ b/internal/wire/keyrange.go
@@ -0,0 +1,111 @@
+package wire
+
+import (
+	"slices"
+	"strconv"
+)
+
+// KeyRange is the half-open range [Lo, Hi) of ledger numbers.
+type KeyRange struct {
+	Lo uint64 `json:"lo"`
+	Hi uint64 `json:"hi"`
+}
+
+// Empty reports whether the range holds no ledger.
+func (r KeyRange) Empty() bool { return r.Lo >= r.Hi }
+
+// Len returns the number of ledgers in the range.
+func (r KeyRange) Len() uint64 {
+	if r.Empty() {
+		return 0
+	}
+	return r.Hi - r.Lo
+}
+
+// Contains reports whether ledger lies in the range.
+func (r KeyRange) Contains(ledger uint64) bool { return ledger >= r.Lo && ledger < r.Hi }
+
+// Intersect returns the ledgers in both ranges; the result may be empty.
+func (r KeyRange) Intersect(o KeyRange) KeyRange {
+	out := KeyRange{Lo: max(r.Lo, o.Lo), Hi: min(r.Hi, o.Hi)}
+	if out.Empty() {
+		return KeyRange{}
+	}
+	return out
+}
+
+// String formats the range as "[lo,hi)".
+func (r KeyRange) String() string {
+	return "[" + strconv.FormatUint(r.Lo, 10) + "," + strconv.FormatUint(r.Hi, 10) + ")"
+}
+
+// RangeSet is a set of ledgers as sorted, disjoint, non-adjacent ranges.
+type RangeSet []KeyRange
+
+// Len returns the number of ledgers in the set.
+func (s RangeSet) Len() uint64 {
+	var n uint64
+	for _, r := range s {
+		n += r.Len()
+	}
+	return n
+}
+
+// Contains reports whether ledger is in the set.
+func (s RangeSet) Contains(ledger uint64) bool {
+	for _, r := range s {
+		if r.Contains(ledger) {
+			return true
+		}
+	}
+	return false
+}
+
+// Add returns the set extended by r.
+func (s RangeSet) Add(r KeyRange) RangeSet {
+	if r.Empty() {
+		return s
+	}
+	all := append(slices.Clone(s), r)
+	slices.SortFunc(all, func(a, b KeyRange) int {
+		if a.Lo < b.Lo {
+			return -1
+		}
+		if a.Lo > b.Lo {
+			return 1
+		}
+		return 0
+	})
+	out := all[:1]
+	for _, next := range all[1:] {
+		last := &out[len(out)-1]
+		if next.Lo > last.Hi {
+			out = append(out, next)
+			continue
+		}
+		last.Hi = max(last.Hi, next.Hi)
+	}
+	return out
+}
+
+// Subtract returns the parts of r that are not in the set, in order.
+func (s RangeSet) Subtract(r KeyRange) RangeSet {
+	var out RangeSet
+	lo := r.Lo
+	for _, have := range s {
+		if have.Hi <= lo {
+			continue
+		}
+		if have.Lo >= r.Hi {
+			break
+		}
+		if have.Lo > lo {
+			out = append(out, KeyRange{Lo: lo, Hi: have.Lo})
+		}
+		lo = max(lo, have.Hi)
+	}
+	if lo < r.Hi {
+		out = append(out, KeyRange{Lo: lo, Hi: r.Hi})
+	}
+	return out
+}
