Add the peer streams and the routing to owner hosts

Cause: planning a query must reach a replica through the host that owns it, with many sub-requests in a message, and a peer connection may go silent for good. Change: peer.Client and peer.Server over drpc with two streams a peer, batches that grow while a write is in progress, silence detection by ping; route.Router with rendezvous hashing per ownership unit. With now.Sub(s.pingAt) >= PingTimeout replaced by false, TestSilentStreamIsDetected doesn't end; with the outcome of sent sub-requests changed to NotRun it fails.

--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,363 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	. "github.com/onsi/gomega"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/peer/peerpb"
+	"github.com/arbutusgauge/arbutusgauge/internal/wire"
+)
+
+// pipeNet is an in-memory network whose connections can go silent.
+type pipeNet struct {
+	mu     sync.Mutex
+	accept chan net.Conn
+	conns  []*silentConn
+	down   bool
+}
+
+type refusedError struct{}
+
+func (refusedError) Error() string { return "connection refused" }
+
+func newPipeNet() *pipeNet { return &pipeNet{accept: make(chan net.Conn)} }
+
+func (n *pipeNet) dial(ctx context.Context, _ string) (net.Conn, error) {
+	n.mu.Lock()
+	down := n.down
+	n.mu.Unlock()
+	if down {
+		return nil, refusedError{}
+	}
+	client, server := net.Pipe()
+	select {
+	case n.accept <- server:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	conn := &silentConn{Conn: client, closed: make(chan struct{})}
+	n.mu.Lock()
+	n.conns = append(n.conns, conn)
+	n.mu.Unlock()
+	return conn, nil
+}
+
+func (n *pipeNet) setDown(down bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.down = down
+}
+
+// silence makes the open connections swallow what is written and bring nothing.
+func (n *pipeNet) silence() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, conn := range n.conns {
+		conn.mu.Lock()
+		conn.silent = true
+		conn.mu.Unlock()
+	}
+}
+
+func (n *pipeNet) dialled() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.conns)
+}
+
+func (n *pipeNet) reset() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, conn := range n.conns {
+		_ = conn.Close()
+	}
+}
+
+func (n *pipeNet) Accept() (net.Conn, error) {
+	conn, ok := <-n.accept
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return conn, nil
+}
+
+func (n *pipeNet) Close() error   { return nil }
+func (n *pipeNet) Addr() net.Addr { return &net.TCPAddr{} }
+
+type silentConn struct {
+	net.Conn
+	mu     sync.Mutex
+	silent bool
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (c *silentConn) isSilent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.silent
+}
+
+func (c *silentConn) Write(p []byte) (int, error) {
+	if c.isSilent() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *silentConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.isSilent() {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (c *silentConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// fakeOwner answers each sub-request after a delay, or never.
+type fakeOwner struct {
+	mu        sync.Mutex
+	delay     time.Duration
+	mute      bool
+	got       map[wire.SubID]int
+	cancelled []wire.SubID
+	batches   []int
+}
+
+func (o *fakeOwner) Send(subs []wire.Sub, done func([]wire.Reply)) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.batches = append(o.batches, len(subs))
+	for _, s := range subs {
+		o.got[s.ID]++
+		if o.mute {
+			continue
+		}
+		time.AfterFunc(o.delay, func() {
+			rows := []wire.Row{{Ledger: s.Range.Lo, Key: "k", Value: s.Payload}}
+			done([]wire.Reply{{
+				ID: s.ID, Replica: s.Replica, Outcome: wire.Answered, Snapshot: s.Snapshot, Range: s.Range, Rows: rows,
+				Load: wire.Load{Slots: 2, Wait: time.Millisecond},
+			}})
+		})
+	}
+}
+
+func (o *fakeOwner) Cancel(ids []wire.SubID) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.cancelled = append(o.cancelled, ids...)
+}
+
+type fakeHandlers struct{}
+
+func (fakeHandlers) HandleGossip(_ context.Context, m *peerpb.GossipMessage) (*peerpb.GossipMessage, error) {
+	return &peerpb.GossipMessage{Kind: peerpb.GossipMessage_ACK, ConfigVersion: m.GetConfigVersion() + 1}, nil
+}
+
+func (fakeHandlers) HandleFetch(context.Context, *peerpb.FetchConfigRequest) (*peerpb.FetchConfigReply, error) {
+	return &peerpb.FetchConfigReply{}, nil
+}
+
+func (fakeHandlers) HandleTicketed(ctx context.Context, _ *peerpb.TicketedRequest) (*peerpb.TicketedReply, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func (fakeHandlers) HandleStatus(context.Context, *peerpb.ReplicaStatusRequest) (*peerpb.ReplicaStatusReply, error) {
+	return &peerpb.ReplicaStatusReply{}, nil
+}
+
+// replies collects the replies of a test by sub-request.
+type replies struct {
+	mu  sync.Mutex
+	all map[wire.SubID][]wire.Reply
+}
+
+func (r *replies) done(batch []wire.Reply) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, reply := range batch {
+		r.all[reply.ID] = append(r.all[reply.ID], reply)
+	}
+}
+
+func (r *replies) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.all)
+}
+
+func (r *replies) one(g *WithT, seq uint64) wire.Reply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	got := r.all[wire.SubID{Host: 1, Seq: seq}]
+	g.Expect(got).To(HaveLen(1), "each sub-request gets exactly one reply")
+	return got[0]
+}
+
+func subs(from, to uint64, left time.Duration) []wire.Sub {
+	var out []wire.Sub
+	for seq := from; seq < to; seq++ {
+		out = append(out, wire.Sub{
+			ID: wire.SubID{Host: 1, Seq: seq}, Replica: "127.0.0.1:1", Snapshot: 7, TimeLeft: left,
+			Range: wire.KeyRange{Lo: seq, Hi: seq + 1}, Payload: []byte{byte(seq)}, Repeatable: true,
+		})
+	}
+	return out
+}
+
+// inBubble runs a test against one peer in virtual time.
+func inBubble(t *testing.T, test func(g *WithT, n *pipeNet, o *fakeOwner, c *Client, r *replies)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		n := newPipeNet()
+		owner := &fakeOwner{delay: 5 * time.Millisecond, got: map[wire.SubID]int{}}
+		server := NewServer(owner, fakeHandlers{}, nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = server.Serve(ctx, n) })
+		client, err := NewClient(Options{Dial: n.dial, Logger: &log.Logger{Handler: discard.Default}})
+		g.Expect(err).NotTo(HaveOccurred())
+		wg.Go(func() { _ = client.Run(ctx) })
+		test(g, n, owner, client, &replies{all: map[wire.SubID][]wire.Reply{}})
+		client.Close()
+		n.reset()
+		cancel()
+		close(n.accept)
+		wg.Wait()
+	})
+}
+
+func TestBatchArrivesWhole(t *testing.T) {
+	inBubble(t, func(g *WithT, _ *pipeNet, o *fakeOwner, c *Client, r *replies) {
+		c.Sender("a").Send(subs(0, 100, time.Second), r.done)
+		time.Sleep(20 * time.Millisecond)
+		for seq := range uint64(100) {
+			reply := r.one(g, seq)
+			g.Expect(reply.Outcome).To(Equal(wire.Answered))
+			g.Expect(reply.Rows).To(Equal([]wire.Row{{Ledger: seq, Key: "k", Value: []byte{byte(seq)}}}),
+				"a reply carries the rows of its own sub-request")
+		}
+		synctest.Wait()
+		g.Expect(o.batches).To(Equal([]int{64, 36}), "sub-requests of one call share messages")
+	})
+}
+
+// Guards against a connection that stays open but brings nothing: its
+// sub-requests must end as unknown well before the deadline.
+func TestSilentStreamIsDetected(t *testing.T) {
+	inBubble(t, func(g *WithT, n *pipeNet, o *fakeOwner, c *Client, r *replies) {
+		c.Sender("a").Send(subs(0, 1, time.Second), r.done)
+		time.Sleep(100 * time.Millisecond)
+		n.silence()
+		start := time.Now()
+		c.Sender("a").Send(subs(10, 12, 2*time.Second), r.done)
+		for r.count() < 3 && time.Since(start) < time.Second {
+			time.Sleep(time.Millisecond)
+		}
+		bound := defaultSilenceBeforePing + defaultPingTimeout
+		g.Expect(time.Since(start)).To(BeNumerically("<=", bound+5*time.Millisecond))
+		g.Expect(r.one(g, 10).Outcome).To(Equal(wire.Unknown))
+		g.Expect(r.one(g, 10).Reason).To(Equal(wire.ReasonConnSilent))
+		c.Sender("a").Send(subs(20, 21, time.Second), r.done)
+		time.Sleep(50 * time.Millisecond)
+		g.Expect(r.one(g, 20).Outcome).To(Equal(wire.Answered), "new connections work")
+		synctest.Wait()
+		g.Expect(o.got[wire.SubID{Host: 1, Seq: 10}]).To(BeZero())
+	})
+}
+
+// Guards against idle streams that are found dead only by the next query.
+func TestIdleSilentStreamIsReplaced(t *testing.T) {
+	inBubble(t, func(g *WithT, n *pipeNet, _ *fakeOwner, c *Client, r *replies) {
+		c.Warm("a")
+		time.Sleep(50 * time.Millisecond)
+		n.silence()
+		time.Sleep(2*defaultKeepAlive + defaultPingTimeout + 50*time.Millisecond)
+		c.Sender("a").Send(subs(0, 1, time.Second), r.done)
+		time.Sleep(20 * time.Millisecond)
+		g.Expect(r.one(g, 0).Outcome).To(Equal(wire.Answered))
+	})
+}
+
+// Guards against a slow owner being taken for a silent connection.
+func TestSlowOwnerKeepsItsStream(t *testing.T) {
+	inBubble(t, func(g *WithT, n *pipeNet, o *fakeOwner, c *Client, r *replies) {
+		o.delay = 800 * time.Millisecond
+		c.Sender("a").Send(subs(0, 1, time.Second), r.done)
+		time.Sleep(time.Second)
+		g.Expect(r.one(g, 0).Outcome).To(Equal(wire.Answered))
+		g.Expect(n.dialled()).To(Equal(streamsPerPeer))
+	})
+}
+
+// Guards against "not run" after bytes were sent, and against "unknown" when
+// nothing could have been sent.
+func TestOutcomeOfLostPeer(t *testing.T) {
+	inBubble(t, func(g *WithT, n *pipeNet, o *fakeOwner, c *Client, r *replies) {
+		o.mute = true
+		c.Sender("a").Send(subs(0, 2, time.Second), r.done)
+		time.Sleep(10 * time.Millisecond)
+		n.setDown(true)
+		n.reset()
+		time.Sleep(10 * time.Millisecond)
+		g.Expect(r.one(g, 0).Outcome).To(Equal(wire.Unknown))
+		g.Expect(r.one(g, 1).Reason).To(Equal(wire.ReasonPeerLost))
+		c.Sender("a").Send(subs(5, 6, time.Second), r.done)
+		time.Sleep(10 * time.Millisecond)
+		g.Expect(r.one(g, 5).Outcome).To(Equal(wire.NotRun))
+		n.setDown(false)
+		time.Sleep(defaultRetryMax)
+		o.mu.Lock()
+		o.mute = false
+		o.mu.Unlock()
+		c.Sender("a").Send(subs(6, 7, time.Second), r.done)
+		time.Sleep(20 * time.Millisecond)
+		g.Expect(r.one(g, 6).Outcome).To(Equal(wire.Answered))
+	})
+}
+
+func TestCancelReachesTheOwner(t *testing.T) {
+	inBubble(t, func(g *WithT, _ *pipeNet, o *fakeOwner, c *Client, r *replies) {
+		o.delay = 100 * time.Millisecond
+		c.Sender("a").Send(subs(0, 2, time.Second), r.done)
+		time.Sleep(10 * time.Millisecond)
+		c.Sender("a").Cancel([]wire.SubID{{Host: 1, Seq: 1}})
+		time.Sleep(200 * time.Millisecond)
+		synctest.Wait()
+		g.Expect(o.cancelled).To(ConsistOf(wire.SubID{Host: 1, Seq: 1}))
+		g.Expect(r.one(g, 1).Outcome).To(Equal(wire.Answered), "a cancelled sub-request still gets its reply")
+	})
+}
+
+func TestCallErrorsSayWhetherAnythingWasSent(t *testing.T) {
+	inBubble(t, func(g *WithT, n *pipeNet, _ *fakeOwner, c *Client, _ *replies) {
+		reply, err := c.Gossip(context.Background(), "a", &peerpb.GossipMessage{ConfigVersion: 3})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(reply.GetConfigVersion()).To(BeEquivalentTo(4))
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		_, err = c.RunTicketed(ctx, "a", &peerpb.TicketedRequest{})
+		var lost *CallError
+		g.Expect(err).To(BeAssignableToTypeOf(lost))
+		n.setDown(true)
+		_, err = c.Gossip(context.Background(), "a", &peerpb.GossipMessage{})
+		var dial *DialError
+		g.Expect(err).To(BeAssignableToTypeOf(dial))
+	})
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,105 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/peer/peerpb"
+	"github.com/arbutusgauge/arbutusgauge/internal/wire"
+)
+
+// drainPoll is how often Drain looks whether work is left.
+const drainPoll = 5 * time.Millisecond
+
+// Server answers the peers of this host.
+type Server struct {
+	Handlers
+	local   wire.Sender
+	scope   tally.Scope
+	running atomic.Int64 // sub-requests of peers without a written reply
+	calls   atomic.Int64 // ticketed requests of peers in progress
+}
+
+// NewServer returns a server that hands sub-requests to local.
+func NewServer(local wire.Sender, handlers Handlers, scope tally.Scope) *Server {
+	if scope == nil {
+		scope = tally.NoopScope
+	}
+	return &Server{Handlers: handlers, local: local, scope: scope}
+}
+
+// Serve answers connections of listener until ctx ends.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	mux := drpcmux.New()
+	if err := peerpb.DRPCRegisterPeer(mux, &endpoint{server: s}); err != nil {
+		return errors.WithStack(err)
+	}
+	err := drpcserver.New(mux).Serve(ctx, listener)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return errors.WithStack(err)
+}
+
+// Running returns the number of peers' requests in progress.
+func (s *Server) Running() int64 { return s.running.Load() + s.calls.Load() }
+
+// Drain waits until no request of a peer is in progress, or ctx ends.
+func (s *Server) Drain(ctx context.Context) {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for s.Running() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// endpoint adapts the server to the generated interface.
+type endpoint struct{ server *Server }
+
+func (e *endpoint) Gossip(ctx context.Context, m *peerpb.GossipMessage) (*peerpb.GossipMessage, error) {
+	return e.server.HandleGossip(ctx, m)
+}
+
+func (e *endpoint) FetchConfig(ctx context.Context, r *peerpb.FetchConfigRequest) (*peerpb.FetchConfigReply, error) {
+	return e.server.HandleFetch(ctx, r)
+}
+
+func (e *endpoint) RunTicketed(ctx context.Context, r *peerpb.TicketedRequest) (*peerpb.TicketedReply, error) {
+	e.server.calls.Add(1)
+	defer e.server.calls.Add(-1)
+	return e.server.HandleTicketed(ctx, r)
+}
+
+func (e *endpoint) ReplicaStatus(ctx context.Context, r *peerpb.ReplicaStatusRequest) (*peerpb.ReplicaStatusReply, error) {
+	return e.server.HandleStatus(ctx, r)
+}
+
+// Exchange runs one stream of sub-requests until the peer closes it.
+func (e *endpoint) Exchange(rpc peerpb.DRPCPeer_ExchangeStream) error {
+	x := &exchange{
+		server: e.server,
+		rpc:    rpc,
+		wake:   make(chan struct{}, 1),
+		stop:   make(chan struct{}),
+		open:   map[wire.SubID]struct{}{},
+	}
+	var writer sync.WaitGroup
+	writer.Go(x.write)
+	err := x.read()
+	close(x.stop)
+	x.abandon()
+	writer.Wait()
+	return err
+}
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,146 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/member"
+	"github.com/arbutusgauge/arbutusgauge/internal/release"
+	"github.com/arbutusgauge/arbutusgauge/internal/wire"
+)
+
+type fakeMembers struct{ view *member.View }
+
+func (m *fakeMembers) View() *member.View { return m.view }
+func (m *fakeMembers) Suspect(string)     {}
+
+type recorder struct {
+	subs      map[wire.SubID]bool
+	cancelled []wire.SubID
+	done      func([]wire.Reply)
+}
+
+func (r *recorder) Send(subs []wire.Sub, done func([]wire.Reply)) {
+	r.done = done
+	for _, s := range subs {
+		r.subs[s.ID] = true
+	}
+}
+
+func (r *recorder) Cancel(ids []wire.SubID) { r.cancelled = append(r.cancelled, ids...) }
+
+type network map[string]*recorder
+
+func (n network) Sender(addr string) wire.Sender {
+	if n[addr] == nil {
+		n[addr] = &recorder{subs: map[wire.SubID]bool{}}
+	}
+	return n[addr]
+}
+
+func testConfig(version uint64, shards int) *release.Config {
+	service := &release.Service{Name: "mill-dispatch"}
+	for i := range shards {
+		service.Shards = append(service.Shards, release.Shard{
+			ID: uint32(i),
+			Replicas: []release.Replica{
+				{Addr: wire.ReplicaID(fmt.Sprintf("127.0.0.1:%d", 20000+2*i)), DataCentre: "badin"},
+				{Addr: wire.ReplicaID(fmt.Sprintf("127.0.0.1:%d", 20001+2*i)), DataCentre: "badin"},
+			},
+		})
+	}
+	return &release.Config{Version: version, Services: map[string]*release.Service{service.Name: service}}
+}
+
+func testView(version uint64, states ...member.State) *member.View {
+	view := &member.View{Version: version}
+	for i, state := range states {
+		view.Hosts = append(view.Hosts, member.Host{
+			Name: fmt.Sprintf("badin-%d", i), Addr: fmt.Sprintf("127.0.0.1:%d", 17000+i), DataCentre: "badin", State: state,
+		})
+	}
+	view.Self = view.Hosts[0]
+	return view
+}
+
+func owners(r *Router, cfg *release.Config) map[wire.ReplicaID]string {
+	out := map[wire.ReplicaID]string{}
+	for _, shard := range cfg.Services["mill-dispatch"].Shards {
+		for _, replica := range shard.Replicas {
+			if host := r.load().ownerOf(replica.Addr); host != nil {
+				out[replica.Addr] = host.Name
+			}
+		}
+	}
+	return out
+}
+
+// Guards against a host change that moves replicas whose owner is still there,
+// which would open connections again for nothing.
+func TestOnlyUnitsOfTheLostHostMove(t *testing.T) {
+	g := NewWithT(t)
+	cfg := testConfig(1, 200)
+	members := &fakeMembers{view: testView(1, member.Live, member.Live, member.Live)}
+	router := New(Options{Config: func() *release.Config { return cfg }, Members: members})
+	before := owners(router, cfg)
+	members.view = testView(2, member.Live, member.Suspect, member.Live)
+	after := owners(router, cfg)
+	count := map[string]int{}
+	for replica, host := range before {
+		count[host]++
+		if host != "badin-1" {
+			g.Expect(after[replica]).To(Equal(host))
+		}
+		g.Expect(after[replica]).NotTo(Equal("badin-1"))
+	}
+	for _, n := range count {
+		g.Expect(n).To(BeNumerically("~", 400/3, 40), "owners share the replicas evenly")
+	}
+}
+
+func TestSubRequestsAreGroupedByOwner(t *testing.T) {
+	g := NewWithT(t)
+	cfg := testConfig(1, 20)
+	local := &recorder{subs: map[wire.SubID]bool{}}
+	peers := network{}
+	router := New(Options{
+		Config:  func() *release.Config { return cfg },
+		Members: &fakeMembers{view: testView(1, member.Live, member.Live, member.Leaving)},
+		Local:   local, Peers: peers,
+	})
+	var subs []wire.Sub
+	var refused []wire.Reply
+	for i, shard := range cfg.Services["mill-dispatch"].Shards {
+		subs = append(subs, wire.Sub{ID: wire.SubID{Seq: uint64(i)}, Replica: shard.Replicas[0].Addr})
+	}
+	subs = append(subs, wire.Sub{ID: wire.SubID{Seq: 99}, Replica: "127.0.0.1:1"})
+	router.Send(subs, func(r []wire.Reply) { refused = append(refused, r...) })
+	g.Expect(refused).To(ConsistOf(wire.Reply{
+		ID: wire.SubID{Seq: 99}, Replica: "127.0.0.1:1", Outcome: wire.NotRun, Reason: wire.ReasonUnknownReplica,
+	}))
+	g.Expect(peers).To(HaveLen(1), "a leaving host owns nothing")
+	remote := peers["127.0.0.1:17001"]
+	g.Expect(len(local.subs) + len(remote.subs)).To(Equal(20))
+	for id := range remote.subs {
+		router.Cancel([]wire.SubID{id})
+		g.Expect(remote.cancelled).To(ConsistOf(id), "a cancel follows its sub-request")
+		break
+	}
+}
+
+// Guards against refusing the running queries of the configuration before.
+func TestReplicasOfThePreviousConfigurationKeepTheirOwner(t *testing.T) {
+	g := NewWithT(t)
+	cfg := testConfig(1, 4)
+	router := New(Options{
+		Config:  func() *release.Config { return cfg },
+		Members: &fakeMembers{view: testView(1, member.Live)},
+	})
+	g.Expect(router.Owns("", 0, "127.0.0.1:20006")).To(BeTrue())
+	cfg = testConfig(2, 2)
+	g.Expect(router.Owns("", 0, "127.0.0.1:20006")).To(BeTrue())
+	cfg = testConfig(3, 2)
+	g.Expect(router.Owns("", 0, "127.0.0.1:20006")).To(BeFalse())
+}
