Add the strict decoder for JSON with comments

Cause: settings and release notes are written by hand, and encoding/json accepts unknown and duplicate keys silently and names no place. Change: jwcc.Decode and DecodeSource, which list all problems with file, line, column, key path and what is allowed; nesting is limited to 64 levels before parsing, because the parser recurses once for each level.

--- /dev/null
+++ b/internal/jwcc/decode_test.go
@@ -0,0 +1,92 @@
+package jwcc
+
+import (
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/tailscale/hujson"
+)
+
+type sample struct {
+	Name  string            `json:"name"`
+	Wait  Duration          `json:"wait"`
+	Slots uint8             `json:"slots"`
+	Share float64           `json:"share"`
+	On    bool              `json:"on"`
+	List  []sample          `json:"list"`
+	Delay map[string]uint32 `json:"delay"`
+}
+
+func problems(t *testing.T, body string) []string {
+	t.Helper()
+	var found *Error
+	var out []string
+	if err := Decode("f.json", []byte(body), &sample{}); errors.As(err, &found) {
+		for _, p := range found.Problems {
+			out = append(out, p.String())
+		}
+	}
+	return out
+}
+
+// Guards against a document with comments being read wrongly.
+func TestDecodeReadsCommentsAndTrailingCommas(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var got sample
+	body := "{ // one\n \"name\": \"a//b[\", /* two */ \"wait\": \"6ms\",\n\"list\": [{\"slots\": 255,},],\"delay\":{\"thatta\":5},}"
+	g.Expect(Decode("f.json", []byte(body), &got)).To(gomega.Succeed())
+	g.Expect(got).To(gomega.Equal(sample{
+		Name: "a//b[", Wait: Duration(6 * time.Millisecond), List: []sample{{Slots: 255}}, Delay: map[string]uint32{"thatta": 5},
+	}))
+}
+
+// Guards against faults that are accepted silently or reported without their
+// place and what is allowed.
+func TestDecodeReportsEveryProblemWithItsPlace(t *testing.T) {
+	g := gomega.NewWithT(t)
+	body := "{\n\"nmae\": 1,\n\"wait\": 6,\n\"list\": [{\"slots\": 256}, {\"share\": \"x\"}],\n\"on\": null, \"name\": \"a\",\n \"name\": \"b\"}"
+	g.Expect(problems(t, body)).To(gomega.HaveExactElements(
+		"f.json:2:1: nmae: unknown key; allowed are name, wait, slots, share, on, list, delay",
+		gomega.HavePrefix("f.json:3:9: wait: \"6\" is not a duration; allowed is"),
+		"f.json:4:20: list[0].slots: found 256; allowed is a whole number from 0 to 255",
+		"f.json:4:36: list[1].share: found \"x\"; allowed is a number",
+		"f.json:5:7: on: found null; allowed is true or false",
+		"f.json:6:2: name: duplicate key; allowed is one, and the first is on line 5",
+	))
+	g.Expect(problems(t, "{\n  \"name\" 1}")).To(gomega.HaveExactElements(gomega.HavePrefix("f.json:2:10: syntax error: ")))
+}
+
+// Guards against a stack overflow in the parser, which would end the process.
+func TestDecodeRefusesDeepNesting(t *testing.T) {
+	g := gomega.NewWithT(t)
+	g.Expect(problems(t, strings.Repeat("[", 10_000_000))).To(gomega.Equal([]string{"f.json:1:65: nested too deeply; allowed are 64 levels"}))
+}
+
+// Guards against panics and against values that differ from those of
+// encoding/json.
+func FuzzDecode(f *testing.F) {
+	for _, seed := range []string{
+		`{}`, `{"name":"\ud800","wait":"1h"}`, "{\"list\":[{\"on\":true,}],}//", `{"delay":{"a":1,"a":2}}`,
+		`{"share":1e400}`, `{"slots":-1}`, `[[[`, `{"list":null}`, `/*`, `"`, `{"wait":"x`, "{\"a\":\n\x00}",
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		var got, want sample
+		if Decode("f.json", body, &got) != nil {
+			return
+		}
+		plain, err := hujson.Standardize(append([]byte(nil), body...))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := json.Unmarshal(plain, &want); err != nil {
+			t.Fatalf("%s: accepted, but encoding/json reports %v", plain, err)
+		}
+		gomega.NewWithT(t).Expect(got).To(gomega.BeComparableTo(want))
+	})
+}
