--- a/internal/release/types.go
+++ b/internal/release/types.go
@@ -82,6 +82,8 @@
 	Author   string         `json:"author"`
 	Services ServiceChanges `json:"services"`
 	Searches SearchChanges  `json:"searches"`
+
+	source *jwcc.Source // places of the keys; nil when the note did not come from text
 }
 
 // ServiceChanges lists what a note does to services.
