--- a/internal/jwcc/decode.go
+++ b/internal/jwcc/decode.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return nil, &Error{Problems: []Problem{syntaxProblem(file, err)}}
 	}
-	d := decoder{source: source}
+	d := decoder{source: source, fields: map[reflect.Type]map[string]int{}}
 	d.value(&value, "", target.Elem())
 	if len(d.problems) > 0 {
 		return nil, &Error{Problems: d.problems}
--- a/internal/jwcc/value.go
+++ b/internal/jwcc/value.go
@@ -17,6 +17,7 @@
 type decoder struct {
 	source   *Source
 	problems []Problem
+	fields   map[reflect.Type]map[string]int // indexes of the fields of each struct type met
 }
 
 func (d *decoder) report(v *hujson.Value, key, message string) {
@@ -71,7 +72,11 @@
 		d.wrongType(v, key, "an object with the keys "+strings.Join(fieldNames(into.Type()), ", "))
 		return
 	}
-	fields := fieldsByName(into.Type())
+	fields, ok := d.fields[into.Type()]
+	if !ok {
+		fields = fieldsByName(into.Type())
+		d.fields[into.Type()] = fields
+	}
 	d.members(object, key, func(name, path string, m *hujson.ObjectMember) {
 		index, ok := fields[name]
 		if !ok {
@@ -98,7 +103,7 @@
 
 // members calls each for the members of an object and reports the duplicates.
 func (d *decoder) members(object *hujson.Object, key string, each func(name, path string, m *hujson.ObjectMember)) {
-	first := map[string]int{}
+	first := make(map[string]int, len(object.Members))
 	for i := range object.Members {
 		m := &object.Members[i]
 		name := m.Name.Value.(hujson.Literal).String()
--- a/internal/release/check.go
+++ b/internal/release/check.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/netip"
-	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -62,11 +61,8 @@
 	}
 }
 
-var validName = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,63}$`)
-
 func (c *checker) name(key, name string) {
-	c.requires(validName.MatchString(name), key,
-		"%q is not a name; allowed are 1 to 64 of a-z, 0-9, '.', '_' and '-', with a letter or digit first", name)
+	c.requires(jwcc.IsName(name), key, "%q is not a name; allowed are %s", name, jwcc.NameForm)
 }
 
 // eachService calls check for the services that the note adds or changes.
--- a/internal/release/scale_test.go
+++ b/internal/release/scale_test.go
@@ -1,15 +1,16 @@
 package release
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 
 	"github.com/arbutusgauge/arbutusgauge/internal/wire"
 )
 
-// BenchmarkApplyAtTargetSize changes one search of a configuration with the
-// 840 shards and 69,720 replicas of the target size.
-func BenchmarkApplyAtTargetSize(b *testing.B) {
+// targetNote adds a service with the 840 shards and 69,720 replicas of the
+// target size.
+func targetNote() *Note {
 	s := Service{Name: "s", Slots: 2, Connections: 25}
 	for id := range 840 {
 		shard := Shard{ID: uint32(id), Range: wire.KeyRange{Lo: uint64(id), Hi: uint64(id + 1)}}
@@ -20,10 +21,17 @@
 		s.Shards = append(s.Shards, shard)
 	}
 	search := Search{Name: "find", Service: "s", Wait: WaitLatency, LatencyGoal: 5, Deadline: 9}
-	cfg, err := Apply(nil, &Note{ID: "n-1", Services: ServiceChanges{Added: []Service{s}}, Searches: SearchChanges{Added: []Search{search}}})
+	return &Note{ID: "n-1", Services: ServiceChanges{Added: []Service{s}}, Searches: SearchChanges{Added: []Search{search}}}
+}
+
+// BenchmarkApplyAtTargetSize changes one search of the target size.
+func BenchmarkApplyAtTargetSize(b *testing.B) {
+	n := targetNote()
+	cfg, err := Apply(nil, n)
 	if err != nil {
 		b.Fatal(err)
 	}
+	search := n.Searches.Added[0]
 	search.Deadline++
 	change := &Note{ID: "n-2", Base: 1, Searches: SearchChanges{Changed: []Search{search}}}
 	for b.Loop() {
@@ -32,3 +40,17 @@
 		}
 	}
 }
+
+// BenchmarkParseAtTargetSize reads a note of the target size as text.
+func BenchmarkParseAtTargetSize(b *testing.B) {
+	body, err := json.MarshalIndent(targetNote(), "", "  ")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.SetBytes(int64(len(body)))
+	for b.Loop() {
+		if _, err := ParseNote("n", body); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
