--- /dev/null
+++ b/internal/backend/httpjson/forms.go
@@ -0,0 +1,192 @@
+package httpjson
+
+import (
+	"time"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/backend"
+	"github.com/arbutusgauge/arbutusgauge/internal/wire"
+)
+
+// Paths of the protocol.
+const (
+	PathSubrequests = "/v1/subrequests"
+	PathCancel      = "/v1/cancel"
+	PathStatus      = "/v1/status"
+)
+
+// States that a server reports.
+const (
+	StateReady    = "ready"
+	StateCold     = "cold"
+	StateDraining = "draining"
+)
+
+// IDForm is a sub-request's identity.
+type IDForm struct {
+	Host uint64 `json:"host"`
+	Seq  uint64 `json:"seq"`
+}
+
+// SubForm is one sub-request of a batch.
+type SubForm struct {
+	ID         IDForm        `json:"id"`
+	Query      uint64        `json:"query"`
+	Service    string        `json:"service"`
+	Search     string        `json:"search"`
+	Shard      uint32        `json:"shard"`
+	Range      wire.KeyRange `json:"range"`
+	Snapshot   uint64        `json:"snapshot"`
+	TimeLeftUS int64         `json:"time_left_us"` // microseconds
+	Repeatable bool          `json:"repeatable"`
+	Payload    []byte        `json:"payload,omitempty"`
+}
+
+// BatchForm is the body of a POST to PathSubrequests.
+type BatchForm struct {
+	Subs []SubForm `json:"subs"`
+}
+
+// RowForm is one row of a reply.
+type RowForm struct {
+	Ledger uint64 `json:"ledger"`
+	Key    string `json:"key"`
+	Value  []byte `json:"value,omitempty"`
+}
+
+// ReplyForm ends one sub-request. Outcome is the text of a wire.Outcome.
+type ReplyForm struct {
+	ID       IDForm        `json:"id"`
+	Outcome  string        `json:"outcome"`
+	Reason   string        `json:"reason,omitempty"`
+	Snapshot uint64        `json:"snapshot,omitempty"`
+	Range    wire.KeyRange `json:"range"`
+	Rows     []RowForm     `json:"rows,omitempty"`
+}
+
+// RepliesForm is the answer to a batch, with the server's state.
+type RepliesForm struct {
+	Replies []ReplyForm `json:"replies"`
+	Status  StatusForm  `json:"status"`
+}
+
+// CancelForm is the body of a POST to PathCancel.
+type CancelForm struct {
+	IDs []IDForm `json:"ids"`
+}
+
+// StatusForm is the answer to a GET of PathStatus.
+type StatusForm struct {
+	State    string `json:"state"`
+	InFlight uint32 `json:"in_flight"`
+	Oldest   uint64 `json:"oldest"`
+	Newest   uint64 `json:"newest"`
+}
+
+// ErrorForm is the body of a status other than 200. Outcome "not_run" states
+// that nothing of the batch ran.
+type ErrorForm struct {
+	Outcome string     `json:"outcome"`
+	Reason  string     `json:"reason"`
+	Status  StatusForm `json:"status"`
+}
+
+func formOfSub(s *wire.Sub) SubForm {
+	return SubForm{
+		ID:         IDForm(s.ID),
+		Query:      s.Query,
+		Service:    s.Service,
+		Search:     s.Search,
+		Shard:      s.Shard,
+		Range:      s.Range,
+		Snapshot:   s.Snapshot,
+		TimeLeftUS: s.TimeLeft.Microseconds(),
+		Repeatable: s.Repeatable,
+		Payload:    s.Payload,
+	}
+}
+
+// Sub returns the sub-request for the replica that received the form.
+func (f *SubForm) Sub(replica wire.ReplicaID) wire.Sub {
+	return wire.Sub{
+		ID:         wire.SubID(f.ID),
+		Query:      f.Query,
+		Service:    f.Service,
+		Search:     f.Search,
+		Shard:      f.Shard,
+		Replica:    replica,
+		Range:      f.Range,
+		Snapshot:   f.Snapshot,
+		TimeLeft:   time.Duration(f.TimeLeftUS) * time.Microsecond,
+		Repeatable: f.Repeatable,
+		Payload:    f.Payload,
+	}
+}
+
+// fill copies the form into a reply. It reports false, and leaves the outcome
+// Unknown, when the form is malformed.
+func (f *ReplyForm) fill(reply *wire.Reply) bool {
+	switch f.Outcome {
+	case wire.Answered.String():
+		if f.Range.Lo > f.Range.Hi {
+			reply.Reason = wire.ReasonServerError
+			return false
+		}
+		reply.Outcome = wire.Answered
+		reply.Reason = wire.ReasonNone
+		reply.Snapshot = f.Snapshot
+		reply.Range = f.Range
+		reply.Rows = make([]wire.Row, len(f.Rows))
+		for i, row := range f.Rows {
+			reply.Rows[i] = wire.Row{Ledger: row.Ledger, Key: row.Key, Value: row.Value}
+		}
+		return true
+	case wire.NotRun.String():
+		reply.Outcome = wire.NotRun
+		reply.Reason = reasonOf(f.Reason)
+		return true
+	case wire.Unknown.String():
+		reply.Reason = reasonOf(f.Reason)
+		return true
+	default:
+		reply.Reason = wire.ReasonServerError
+		return false
+	}
+}
+
+// reasonOf limits the reasons to the known ones, because they become labels of
+// metrics.
+func reasonOf(text string) wire.Reason {
+	switch reason := wire.Reason(text); reason {
+	case wire.ReasonBadRequest, wire.ReasonQueueFull, wire.ReasonDeadlineShort, wire.ReasonExpired,
+		wire.ReasonCancelled, wire.ReasonDraining, wire.ReasonShed, wire.ReasonSnapshotGone,
+		wire.ReasonRepartitioned, wire.ReasonTimeout:
+		return reason
+	default:
+		return wire.ReasonServerError
+	}
+}
+
+// state returns the replica state in a form; unknown texts count as ready,
+// because the state is only a hint.
+func (f StatusForm) state() wire.ReplicaState {
+	switch f.State {
+	case StateDraining:
+		return wire.ReplicaDraining
+	case StateCold:
+		return wire.ReplicaCold
+	default:
+		return wire.ReplicaReady
+	}
+}
+
+func (f StatusForm) held() wire.Held { return wire.Held{Oldest: f.Oldest, Newest: f.Newest} }
+
+func (f StatusForm) status() backend.Status {
+	state := f.state()
+	return backend.Status{
+		Draining: state == wire.ReplicaDraining,
+		Cold:     state == wire.ReplicaCold,
+		InFlight: f.InFlight,
+		Held:     f.held(),
+	}
+}
