--- /dev/null
+++ b/internal/admit/admit_test.go
@@ -0,0 +1,145 @@
+package admit
+
+import (
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func newAdmission(t *testing.T, o Options) *Admission {
+	t.Helper()
+	a, err := New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+// fill acquires until the first refusal.
+func fill(a *Admission, service string) (releases []Release, refused error) {
+	for {
+		release, err := a.Acquire(service)
+		if err != nil {
+			return releases, err
+		}
+		releases = append(releases, release)
+	}
+}
+
+// Guards against a refusal that the front can't turn into 429 with a time.
+func TestRefusesOverTheLimit(t *testing.T) {
+	g := NewWithT(t)
+	a := newAdmission(t, Options{Initial: 5})
+	releases, err := fill(a, "mill")
+	g.Expect(releases).To(HaveLen(5))
+	overloaded, ok := errors.AsType[*OverloadedError](err)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(overloaded.Service).To(Equal("mill"))
+	g.Expect(overloaded.RetryAfter).To(BeNumerically(">", 0))
+	releases[0](Feedback{Latency: time.Millisecond})
+	releases[0](Feedback{Latency: time.Millisecond})
+	_, inFlight := a.Limit("mill")
+	g.Expect(inFlight).To(Equal(4), "a second release of one query counts nothing")
+	_, err = a.Acquire("other")
+	g.Expect(err).NotTo(HaveOccurred(), "services don't share a limit")
+}
+
+// Guards against a limit that collapses on the replies of one round trip, and
+// against a service that gets no query at all.
+func TestShrinksOncePerRoundTripDownToTheFloor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		a := newAdmission(t, Options{Initial: 100, Floor: 3})
+		bad := Feedback{Wait: 60 * time.Millisecond, Latency: 50 * time.Millisecond, Goal: 200 * time.Millisecond}
+		time.Sleep(time.Second)
+		releases, _ := fill(a, "mill")
+		for _, release := range releases {
+			release(bad)
+		}
+		limit, _ := a.Limit("mill")
+		g.Expect(limit).To(Equal(80.0))
+		for range 50 {
+			time.Sleep(60 * time.Millisecond)
+			release, err := a.Acquire("mill")
+			g.Expect(err).NotTo(HaveOccurred())
+			release(Feedback{Refused: true, Latency: 50 * time.Millisecond})
+		}
+		limit, _ = a.Limit("mill")
+		g.Expect(limit).To(Equal(3.0))
+	})
+}
+
+// Guards against a limit that never recovers, grows without being used, or
+// grows faster than one query per round trip.
+func TestGrowsAdditivelyOnlyWhenUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		a := newAdmission(t, Options{Initial: 10})
+		ok := Feedback{Wait: time.Millisecond, Latency: 5 * time.Millisecond, Goal: 200 * time.Millisecond}
+		for range 100 {
+			release, _ := a.Acquire("mill")
+			release(ok)
+		}
+		limit, _ := a.Limit("mill")
+		g.Expect(limit).To(Equal(10.0), "one query in flight says nothing about the limit")
+		for range 20 {
+			releases, _ := fill(a, "mill")
+			for _, release := range releases {
+				release(ok)
+			}
+		}
+		limit, _ = a.Limit("mill")
+		g.Expect(limit).To(BeNumerically(">", 15))
+		g.Expect(limit).To(BeNumerically("<=", 30))
+	})
+}
+
+// Guards against state of withdrawn services that is kept for ever, and
+// against a late release that touches its successor.
+func TestRetainDropsWithdrawnServices(t *testing.T) {
+	g := NewWithT(t)
+	a := newAdmission(t, Options{Initial: 4})
+	releases, _ := fill(a, "mill")
+	a.Retain(func(service string) bool { return service != "mill" })
+	g.Expect(a.services).To(BeEmpty())
+	releases[0](Feedback{Refused: true, Latency: time.Second})
+	limit, inFlight := a.Limit("mill")
+	g.Expect(limit).To(Equal(4.0))
+	g.Expect(inFlight).To(Equal(0))
+}
+
+// Guards the counts under concurrency; run with -race.
+func TestConcurrentUse(t *testing.T) {
+	g := NewWithT(t)
+	a := newAdmission(t, Options{Initial: 8})
+	var wg sync.WaitGroup
+	for range 16 {
+		wg.Go(func() {
+			for range 200 {
+				if release, err := a.Acquire("mill"); err == nil {
+					release(Feedback{Latency: time.Microsecond})
+				}
+			}
+		})
+	}
+	wg.Wait()
+	_, inFlight := a.Limit("mill")
+	g.Expect(inFlight).To(Equal(0))
+}
+
+// Guards against options that would make the limit useless.
+func TestOptions(t *testing.T) {
+	g := NewWithT(t)
+	for _, o := range []Options{{Decrease: 1}, {Floor: 0.5}, {Initial: 10, Ceiling: 5}} {
+		_, err := New(o)
+		_, ok := errors.AsType[*OptionError](err)
+		g.Expect(ok).To(BeTrue(), "%+v", o)
+	}
+}
--- /dev/null
+++ b/internal/scatter/run_test.go
@@ -0,0 +1,307 @@
+package scatter
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/release"
+	"github.com/arbutusgauge/arbutusgauge/internal/wire"
+)
+
+type statusFunc []ReplicaInfo
+
+func (s statusFunc) ReplicaStatus(context.Context, string) ([]ReplicaInfo, error) { return s, nil }
+
+// Guards against an answer that lacks a shard or carries foreign rows.
+func TestRunMergesAllShards(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		sender := &fakeSender{behave: func(sub wire.Sub) (time.Duration, wire.Reply, bool) {
+			return 4 * time.Millisecond, good(sub), true
+		}}
+		answer, err := testEngine(t, sender, nil).Run(t.Context(), rota(testConfig(20, 2)))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(answer.Coverage.Fraction()).To(Equal(1.0))
+		g.Expect(answer.Rows).To(HaveLen(200))
+		g.Expect(answer.Snapshot).To(BeEquivalentTo(42))
+		g.Expect(answer.Work).To(Equal(Work{FirstTries: 20}))
+		g.Expect(answer.Timing.Total).To(Equal(4 * time.Millisecond))
+	})
+}
+
+// Guards against a straggler that delays the answer, and against losers that
+// go on using slots.
+func TestHedgeOvertakesStraggler(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var n atomic.Int32
+		sender := &fakeSender{behave: func(sub wire.Sub) (time.Duration, wire.Reply, bool) {
+			if n.Add(1) == 1 {
+				return 400 * time.Millisecond, good(sub), true
+			}
+			return 4 * time.Millisecond, good(sub), true
+		}}
+		answer, err := testEngine(t, sender, nil).Run(t.Context(), rota(testConfig(1, 2)))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(answer.Timing.Total).To(Equal(defaultHedgeDelay + 4*time.Millisecond))
+		g.Expect(answer.Work).To(Equal(Work{FirstTries: 1, Hedges: 1, Cancelled: 1}))
+		g.Expect(sender.sent[1].Replica).NotTo(Equal(sender.sent[0].Replica))
+		g.Expect(sender.cancelled).To(HaveKey(sender.sent[0].ID))
+		time.Sleep(time.Second)
+	})
+}
+
+// Guards against hedges and retries that double the load when all is slow.
+func TestBudgetBoundsExtraLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		sender := &fakeSender{behave: func(sub wire.Sub) (time.Duration, wire.Reply, bool) {
+			return 450 * time.Millisecond, good(sub), true
+		}}
+		e := testEngine(t, sender, nil)
+		config := testConfig(20, 2)
+		for range 200 {
+			_, err := e.Run(t.Context(), rota(config))
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		sent, _, _ := sender.count()
+		g.Expect(sent).To(BeNumerically("<=", 4000*1.03+defaultExtraBurst))
+		time.Sleep(time.Second)
+	})
+}
+
+// Guards promise 5: a request that isn't repeatable runs at most once.
+func TestNotRepeatableIsNeverSentAgain(t *testing.T) {
+	for name, reply := range map[string]func(wire.Sub) (time.Duration, wire.Reply, bool){
+		"unknown": func(sub wire.Sub) (time.Duration, wire.Reply, bool) {
+			return time.Millisecond, refusal(sub, wire.Unknown, wire.ReasonConnLost), true
+		},
+		"silent": func(sub wire.Sub) (time.Duration, wire.Reply, bool) {
+			return time.Second, good(sub), true
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				sender := &fakeSender{behave: reply}
+				query := rota(testConfig(1, 3))
+				query.Search = "call"
+				_, err := testEngine(t, sender, nil).Run(t.Context(), query)
+				g.Expect(err).To(BeAssignableToTypeOf(&UnknownError{}))
+				time.Sleep(2 * time.Second)
+				g.Expect(sender.sent).To(HaveLen(1))
+			})
+		})
+	}
+}
+
+// Guards against a booking that fails although a replica refused it unrun.
+func TestNotRepeatableIsRetriedAfterNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var n atomic.Int32
+		sender := &fakeSender{behave: func(sub wire.Sub) (time.Duration, wire.Reply, bool) {
+			if n.Add(1) == 1 {
+				return time.Millisecond, refusal(sub, wire.NotRun, wire.ReasonDraining), false
+			}
+			return time.Millisecond, good(sub), true
+		}}
+		query := rota(testConfig(1, 2))
+		query.Search = "call"
+		answer, err := testEngine(t, sender, nil).Run(t.Context(), query)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(answer.Work.Retries).To(Equal(1))
+		g.Expect(sender.ran).To(HaveLen(1))
+	})
+}
+
+// Guards promise 4: "not run" is stated only when every attempt was refused.
+func TestOutcomeOfFailures(t *testing.T) {
+	refused := func(sub wire.Sub) (time.Duration, wire.Reply, bool) {
+		return time.Millisecond, refusal(sub, wire.NotRun, wire.ReasonQueueFull), false
+	}
+	lost := func(sub wire.Sub) (time.Duration, wire.Reply, bool) {
+		return time.Millisecond, refusal(sub, wire.Unknown, wire.ReasonConnLost), true
+	}
+	for name, c := range map[string]struct {
+		first, others func(wire.Sub) (time.Duration, wire.Reply, bool)
+		want          error
+	}{
+		"all refused":   {refused, refused, &NotRunError{}},
+		"one lost":      {lost, refused, &UnknownError{}},
+		"all lost":      {lost, lost, &UnknownError{}},
+		"only the last": {refused, lost, &UnknownError{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				var n atomic.Int32
+				sender := &fakeSender{behave: func(sub wire.Sub) (time.Duration, wire.Reply, bool) {
+					if n.Add(1) == 1 {
+						return c.first(sub)
+					}
+					return c.others(sub)
+				}}
+				answer, err := testEngine(t, sender, nil).Run(t.Context(), rota(testConfig(1, 2)))
+				g.Expect(err).To(BeAssignableToTypeOf(c.want))
+				g.Expect(SeenOf(answer, err).Refused).To(Equal(name != "all lost"))
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+// Guards both wait rules: one waits for the straggler, the other answers at
+// the latency goal when the least coverage is reached.
+func TestWaitRules(t *testing.T) {
+	for search, want := range map[string]struct {
+		total    time.Duration
+		fraction float64
+	}{"rota": {300 * time.Millisecond, 1}, "tours": {100 * time.Millisecond, 0.9}} {
+		t.Run(search, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				sender := &fakeSender{behave: func(sub wire.Sub) (time.Duration, wire.Reply, bool) {
+					if sub.Shard == 3 {
+						return 300 * time.Millisecond, good(sub), true
+					}
+					return 4 * time.Millisecond, good(sub), true
+				}}
+				query := rota(testConfig(10, 1))
+				query.Search = search
+				answer, err := testEngine(t, sender, nil).Run(t.Context(), query)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(answer.Timing.Total).To(Equal(want.total))
+				g.Expect(answer.Timing.SlowestShard).To(BeEquivalentTo(3))
+				g.Expect(answer.Coverage.Fraction()).To(Equal(want.fraction))
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+// Guards against an answer below the least coverage that looks complete.
+func TestBelowCoverageCarriesReasons(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		sender := &fakeSender{behave: func(sub wire.Sub) (time.Duration, wire.Reply, bool) {
+			if sub.Shard == 0 {
+				return time.Millisecond, refusal(sub, wire.NotRun, wire.ReasonQueueFull), false
+			}
+			return 4 * time.Millisecond, good(sub), true
+		}}
+		_, err := testEngine(t, sender, nil).Run(t.Context(), rota(testConfig(4, 2)))
+		below, ok := errors.AsType[*BelowCoverageError](err)
+		g.Expect(ok).To(BeTrue(), "%v", err)
+		g.Expect(below.Coverage.Covered).To(BeEquivalentTo(30))
+		g.Expect(below.Coverage.Missing).To(ConsistOf(
+			Missing{Shard: 0, Range: wire.KeyRange{Lo: 0, Hi: 10}, Reason: wire.ReasonQueueFull}))
+	})
+}
+
+// Guards against a shard that is left out although a newer snapshot and
+// configuration would give the whole answer, and against endless restarts.
+func TestRestartsOnceOnNewerConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		old, newer := testConfig(2, 2), testConfig(3, 2)
+		newer.Version = 2
+		gone := func(sub wire.Sub) (time.Duration, wire.Reply, bool) {
+			reply := refusal(sub, wire.NotRun, wire.ReasonSnapshotGone)
+			reply.Held = wire.Held{Oldest: 43, Newest: 44}
+			return time.Millisecond, reply, false
+		}
+		sender := &fakeSender{behave: func(sub wire.Sub) (time.Duration, wire.Reply, bool) {
+			if sub.Snapshot == 42 {
+				return gone(sub)
+			}
+			return time.Millisecond, good(sub), true
+		}}
+		status := known(
+			ReplicaInfo{Replica: "127.0.0.1:1000", Held: wire.Held{Oldest: 40, Newest: 42}},
+			ReplicaInfo{Replica: "127.0.0.1:1100", Held: wire.Held{Oldest: 40, Newest: 42}},
+		)
+		e := testEngine(t, sender, func(o *Options) {
+			o.Status = status
+			o.Config = func() *release.Config { return newer }
+		})
+		answer, err := e.Run(t.Context(), rota(old))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(answer.Work.Restarts).To(Equal(1))
+		g.Expect(answer.ConfigVersion).To(BeEquivalentTo(2))
+		g.Expect(answer.Snapshot).To(BeEquivalentTo(44))
+		g.Expect(answer.Coverage.Requested).To(BeEquivalentTo(30))
+
+		sender.behave = gone
+		_, err = e.Run(t.Context(), rota(newer))
+		unknown, ok := errors.AsType[*UnknownError](err)
+		g.Expect(ok).To(BeTrue(), "the first pass was cancelled on its way, so it may have run: %v", err)
+		g.Expect(unknown.Work.Restarts).To(Equal(1))
+		time.Sleep(time.Second)
+	})
+}
+
+// Guards against errors that look like low latency: a replica that fails at
+// once must not attract the load.
+func TestFailingReplicaIsAvoided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		failed := 0
+		sender := &fakeSender{behave: func(sub wire.Sub) (time.Duration, wire.Reply, bool) {
+			if sub.Replica == "127.0.0.1:1000" {
+				failed++
+				reply := refusal(sub, wire.Unknown, wire.ReasonServerError)
+				reply.Load = wire.Load{}
+				return 100 * time.Microsecond, reply, true
+			}
+			return 4 * time.Millisecond, good(sub), true
+		}}
+		e := testEngine(t, sender, nil)
+		for range 100 {
+			_, err := e.Run(t.Context(), rota(testConfig(1, 2)))
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		g.Expect(failed).To(BeNumerically("<=", 10))
+	})
+}
+
+// Guards against late, duplicate and foreign replies that reach a query.
+func TestForeignRepliesAreDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		sender := &duplicating{}
+		e := testEngine(t, sender, nil)
+		answer, err := e.Run(t.Context(), rota(testConfig(2, 1)))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(answer.Rows).To(HaveLen(20))
+		for _, row := range answer.Rows {
+			g.Expect(row.Key).To(Equal(rowKey(answer.Query, 42, row.Ledger)))
+		}
+		g.Expect(answer.Work.Dropped).To(BeNumerically(">=", 3))
+	})
+}
+
+// duplicating sends foreign, misattributed and doubled replies.
+type duplicating struct{}
+
+func (duplicating) Send(subs []wire.Sub, done func([]wire.Reply)) {
+	for i, sub := range subs {
+		foreign, stranger, wrong := good(sub), good(sub), good(sub)
+		foreign.ID.Host++
+		stranger.ID.Seq += 1000
+		wrong.Replica = "127.0.0.1:9"
+		for _, r := range []*wire.Reply{&foreign, &stranger, &wrong} {
+			r.Rows[0].Key = "foreign"
+		}
+		all := []wire.Reply{foreign, stranger, wrong, good(sub), good(sub)}
+		time.AfterFunc(time.Duration(i+1)*time.Millisecond, func() { done(all) })
+	}
+}
+
+func (duplicating) Cancel([]wire.SubID) {}
--- /dev/null
+++ b/internal/scatter/service.go
@@ -0,0 +1,154 @@
+package scatter
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/release"
+	"github.com/arbutusgauge/arbutusgauge/internal/wire"
+)
+
+// hedgeQuantile is the quantile of the latency after which a hedge is sent.
+const hedgeQuantile = 0.95
+
+// statusRetry is the least time between two status requests of a service.
+const statusRetry = time.Second
+
+// service is what outlives a query: latency, budget and the replicas.
+type service struct {
+	latency latency
+	budget  budget
+	// lastReply is the time of the last reply, in unix nanoseconds.
+	lastReply atomic.Int64
+
+	mu sync.Mutex
+	// tables are the newest first; a query may still use the one before.
+	tables   [2]*table
+	fetching chan struct{}
+	fetched  time.Time
+}
+
+// table holds the replicas of a service under one configuration. Replicas
+// that stay keep their state in the next table.
+type table struct {
+	config *release.Service
+	shards []tableShard
+	byID   map[wire.ReplicaID]*replica
+}
+
+type tableShard struct {
+	config   *release.Shard
+	replicas []*replica
+}
+
+// tableFor returns the table of a configuration of the service.
+func (s *service) tableFor(config *release.Service, o *Options) *table {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.tables {
+		if t != nil && t.config == config {
+			return t
+		}
+	}
+	t := newTable(config, s.tables[0], o)
+	s.tables[0], s.tables[1] = t, s.tables[0]
+	gain, burst := config.ExtraLoad, float64(config.ExtraBurst)
+	if gain <= 0 {
+		gain = defaultExtraLoad
+	}
+	if burst <= 0 {
+		burst = defaultExtraBurst
+	}
+	s.budget.configure(gain, burst)
+	return t
+}
+
+func newTable(config *release.Service, previous *table, o *Options) *table {
+	t := &table{
+		config: config,
+		shards: make([]tableShard, len(config.Shards)),
+		byID:   map[wire.ReplicaID]*replica{},
+	}
+	for i := range config.Shards {
+		shard := &config.Shards[i]
+		t.shards[i].config = shard
+		for n, r := range shard.Replicas {
+			rep := &replica{id: r.Addr, index: uint8(min(n, maxTried)), slots: config.Slots}
+			if r.DataCentre != o.DataCentre {
+				rep.trip = 2 * o.Delays[r.DataCentre]
+			}
+			if previous != nil {
+				rep.inherit(previous.byID[r.Addr])
+			}
+			t.shards[i].replicas = append(t.shards[i].replicas, rep)
+			t.byID[r.Addr] = rep
+		}
+	}
+	return t
+}
+
+func (r *replica) inherit(from *replica) {
+	if from == nil {
+		return
+	}
+	from.mu.Lock()
+	defer from.mu.Unlock()
+	r.held, r.heldAt = from.held, from.heldAt
+	r.load, r.loadAt = from.load, from.loadAt
+	r.penalty, r.penaltyAt = from.penalty, from.penaltyAt
+}
+
+// learn asks the owners if no reply of the service was seen recently. Queries
+// that start meanwhile wait for the same request.
+func (s *service) learn(ctx context.Context, t *table, o *Options) {
+	now := time.Now()
+	if o.Status == nil || now.UnixNano()-s.lastReply.Load() < int64(o.StatusAfter) {
+		return
+	}
+	s.mu.Lock()
+	wait := s.fetching
+	if wait == nil {
+		if now.Sub(s.fetched) < statusRetry {
+			s.mu.Unlock()
+			return
+		}
+		wait = make(chan struct{})
+		s.fetching, s.fetched = wait, now
+		go s.fetch(context.WithoutCancel(ctx), wait, t, o)
+	}
+	s.mu.Unlock()
+	select {
+	case <-wait:
+	case <-ctx.Done():
+	}
+}
+
+func (s *service) fetch(ctx context.Context, wait chan struct{}, t *table, o *Options) {
+	ctx, cancel := context.WithTimeout(ctx, o.StatusLimit)
+	defer cancel()
+	infos, err := o.Status.ReplicaStatus(ctx, t.config.Name)
+	now := time.Now()
+	for _, info := range infos {
+		if r := t.byID[info.Replica]; r != nil {
+			r.observe(now, info.Held, info.Load)
+		}
+	}
+	if err != nil {
+		o.Logger.WithError(err).WithField("service", t.config.Name).Warn("replica status is incomplete")
+	}
+	s.mu.Lock()
+	s.fetching = nil
+	s.mu.Unlock()
+	close(wait)
+}
+
+// hedgeDelay returns the time after which an unanswered sub-request is hedged.
+func (s *service) hedgeDelay(now time.Time, o *Options) time.Duration {
+	d := s.latency.quantile(hedgeQuantile, now)
+	if d == 0 {
+		return o.HedgeDelay
+	}
+	return max(d, o.MinHedgeDelay)
+}
