Add tickets and the HTTP interface of an entry host

Cause: the daemon needs an entry point to wire; callers need tickets for requests that are not repeatable. Conclusion: a thin version for others to wire; tests of the failures follow.

--- /dev/null
+++ b/internal/front/body.go
@@ -0,0 +1,227 @@
+package front
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"github.com/pkg/errors"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/jwcc"
+	"github.com/arbutusgauge/arbutusgauge/internal/once"
+	"github.com/arbutusgauge/arbutusgauge/internal/wire"
+)
+
+// searchBody is a caller's search.
+type searchBody struct {
+	Range         *rangeBody
+	Ledgers       []uint64
+	Deadline      *jwcc.Duration
+	LeastCoverage *float64
+	Ticket        string
+	Payload       string
+}
+
+// rangeBody is a range whose keys are checked strictly.
+type rangeBody wire.KeyRange
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (r *rangeBody) UnmarshalJSON(body []byte) error {
+	return decodeStrict(body, map[string]any{"lo": &r.Lo, "hi": &r.Hi})
+}
+
+// parseSearch decodes and checks a search as far as the configuration does not
+// matter. An empty body is a search without fields. *BodyError reports the
+// first fault.
+func parseSearch(raw []byte) (*searchBody, error) {
+	b := &searchBody{}
+	if len(bytes.TrimSpace(raw)) == 0 {
+		return b, nil
+	}
+	err := decodeStrict(raw, map[string]any{
+		"range": &b.Range, "ledgers": &b.Ledgers, "deadline": &b.Deadline,
+		"least_coverage": &b.LeastCoverage, "ticket": &b.Ticket, "payload": &b.Payload,
+	})
+	if err != nil {
+		return nil, err
+	}
+	switch {
+	case b.Range != nil && len(b.Ledgers) > 0:
+		return nil, bodyError("range and ledgers exclude each other")
+	case b.Range != nil && wire.KeyRange(*b.Range).Empty():
+		return nil, bodyError("range [%d,%d) is empty; lo must be below hi", b.Range.Lo, b.Range.Hi)
+	case b.Deadline != nil && b.Deadline.D() <= 0:
+		return nil, bodyError("deadline %s is not positive", b.Deadline.D())
+	case b.LeastCoverage != nil && (*b.LeastCoverage < 0 || *b.LeastCoverage > 1):
+		return nil, bodyError("least_coverage %v is out of range; allowed is 0 to 1", *b.LeastCoverage)
+	}
+	return b, nil
+}
+
+// hash identifies the request of a ticket. The deadline is left out: a caller
+// that repeats a request has less time left.
+func (b *searchBody) hash(service, search string) once.RequestHash {
+	canonical, err := json.Marshal(struct {
+		Range         *rangeBody
+		Ledgers       []uint64
+		LeastCoverage *float64
+		Payload       string
+	}{b.Range, b.Ledgers, b.LeastCoverage, b.Payload})
+	if err != nil {
+		panic(err) // no field has a form that can't be encoded
+	}
+	return once.HashRequest(service, search, canonical)
+}
+
+// ledgerSet returns the ledgers as ranges.
+func ledgerSet(ledgers []uint64) wire.RangeSet {
+	sorted := slices.Compact(slices.Sorted(slices.Values(ledgers)))
+	var out wire.RangeSet
+	for _, l := range sorted {
+		if n := len(out); n > 0 && out[n-1].Hi == l {
+			out[n-1].Hi = l + 1
+			continue
+		}
+		out = append(out, wire.KeyRange{Lo: l, Hi: l + 1})
+	}
+	return out
+}
+
+// decodeStrict reads one JSON object. Unlike encoding/json it refuses keys in
+// another case, unknown keys, repeated keys and a second value.
+func decodeStrict(raw []byte, fields map[string]any) error {
+	d := json.NewDecoder(bytes.NewReader(raw))
+	if token, err := d.Token(); err != nil || token != json.Delim('{') {
+		return bodyError("body is not a JSON object")
+	}
+	seen := map[string]bool{}
+	for d.More() {
+		token, err := d.Token()
+		if err != nil {
+			return bodyError("body is not valid JSON: %s", err)
+		}
+		key, _ := token.(string)
+		into, known := fields[key]
+		if !known {
+			return bodyError("key %q is unknown; allowed are %s", key, allowedKeys(fields))
+		}
+		if seen[key] {
+			return bodyError("key %q is repeated", key)
+		}
+		seen[key] = true
+		if err := d.Decode(into); err != nil {
+			return bodyError("key %q is not valid: %s", key, err)
+		}
+	}
+	if _, err := d.Token(); err != nil {
+		return bodyError("body is not valid JSON: %s", err)
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return bodyError("body holds more than one JSON value")
+	}
+	return nil
+}
+
+func allowedKeys(fields map[string]any) string {
+	var keys []string
+	for key := range fields {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return strings.Join(keys, ", ")
+}
+
+func bodyError(format string, args ...any) error {
+	return errors.WithStack(&BodyError{Message: fmt.Sprintf(format, args...)})
+}
+
+// answerBody is the body of an answered search.
+type answerBody struct {
+	Outcome       string     `json:"outcome"`
+	Request       string     `json:"request"`
+	ConfigVersion uint64     `json:"config_version"`
+	Snapshot      uint64     `json:"snapshot"`
+	Rows          []rowBody  `json:"rows"`
+	Coverage      *Coverage  `json:"coverage"`
+	Timing        timingBody `json:"timing"`
+	Work          Work       `json:"work"`
+	Warnings      []string   `json:"warnings"`
+}
+
+// rowBody is one row. ValueBase64 replaces Value when the value is not UTF-8,
+// which a JSON text can't carry unchanged.
+type rowBody struct {
+	Ledger      uint64 `json:"ledger"`
+	Key         string `json:"key"`
+	Value       string `json:"value"`
+	ValueBase64 []byte `json:"value_base64,omitempty"`
+}
+
+type timingBody struct {
+	Total        jwcc.Duration `json:"total"`
+	SlowestShard uint32        `json:"slowest_shard"`
+}
+
+// errorBody is the body of every error of the callers' interface.
+type errorBody struct {
+	Outcome    string         `json:"outcome"`
+	Error      Code           `json:"error"`
+	Message    string         `json:"message"`
+	Request    string         `json:"request"`
+	RetryAfter *jwcc.Duration `json:"retry_after,omitempty"`
+	Coverage   *Coverage      `json:"coverage"`
+}
+
+func newAnswerBody(request string, a *Answer, total time.Duration) answerBody {
+	coverage := a.Coverage.withLists()
+	body := answerBody{
+		Outcome:       wire.Answered.String(),
+		Request:       request,
+		ConfigVersion: a.ConfigVersion,
+		Snapshot:      a.Snapshot,
+		Rows:          make([]rowBody, 0, len(a.Rows)),
+		Coverage:      &coverage,
+		Timing:        timingBody{Total: jwcc.Duration(total), SlowestShard: a.SlowestShard},
+		Work:          a.Work,
+		Warnings:      append([]string{}, a.Warnings...),
+	}
+	for _, r := range a.Rows {
+		row := rowBody{Ledger: r.Ledger, Key: r.Key, Value: string(r.Value)}
+		if !utf8.Valid(r.Value) {
+			row.Value, row.ValueBase64 = "", r.Value
+		}
+		body.Rows = append(body.Rows, row)
+	}
+	return body
+}
+
+// withLists returns the coverage with empty lists instead of null ones.
+func (c Coverage) withLists() Coverage {
+	if c.Included == nil {
+		c.Included = []Included{}
+	}
+	if c.Missing == nil {
+		c.Missing = []MissingRange{}
+	}
+	return c
+}
+
+// union returns the ranges sorted and merged.
+func union(ranges wire.RangeSet) wire.RangeSet {
+	slices.SortFunc(ranges, func(a, b wire.KeyRange) int { return cmp.Compare(a.Lo, b.Lo) })
+	var out wire.RangeSet
+	for _, r := range ranges {
+		if n := len(out); n > 0 && out[n-1].Hi >= r.Lo {
+			out[n-1].Hi = max(out[n-1].Hi, r.Hi)
+			continue
+		}
+		out = append(out, r)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/front/operator.go
@@ -0,0 +1,150 @@
+package front
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/member"
+	"github.com/arbutusgauge/arbutusgauge/internal/wire"
+)
+
+const (
+	headerNoteFile  = "X-Note-File"
+	defaultNoteFile = "note"
+
+	outcomeNotApplied = "not_applied"
+)
+
+// operatorError is the body of an error of the operators' interface.
+type operatorError struct {
+	Error       Code      `json:"error"`
+	Message     string    `json:"message"`
+	Request     string    `json:"request"`
+	Outcome     string    `json:"outcome,omitempty"`
+	Problems    []Problem `json:"problems,omitempty"`
+	WinningNote string    `json:"winning_note,omitempty"`
+	Version     uint64    `json:"version,omitempty"`
+}
+
+// postNote handles POST /v1/operator/notes.
+func (s *Server) postNote(c echo.Context) error {
+	dryRun := false
+	switch c.QueryParam("dry_run") {
+	case "", "false":
+	case "true":
+		dryRun = true
+	default:
+		return s.operatorFailed(c, bodyError("dry_run is %q; allowed are true and false", c.QueryParam("dry_run")))
+	}
+	note, err := readBody(c, s.opts.NoteLimit)
+	if err != nil {
+		return s.operatorFailed(c, err)
+	}
+	file := c.Request().Header.Get(headerNoteFile)
+	if file == "" {
+		file = defaultNoteFile
+	}
+	// The write may take effect after the operator's connection is lost, so
+	// it is not abandoned half way.
+	applied, err := s.opts.Operator.Apply(context.WithoutCancel(c.Request().Context()), file, note, dryRun)
+	if err != nil {
+		return s.operatorFailed(c, err)
+	}
+	return c.JSON(http.StatusOK, applied)
+}
+
+// operatorFailed writes the error of an operator's call.
+func (s *Server) operatorFailed(c echo.Context, err error) error {
+	body := operatorError{Message: err.Error(), Request: requestID(c)}
+	status := http.StatusInternalServerError
+	var badBody *BodyError
+	var badNote *BadNoteError
+	var conflict *ConflictError
+	var store *StoreError
+	switch {
+	case errors.As(err, &badBody):
+		status, body.Error, body.Outcome = http.StatusBadRequest, CodeBadRequest, outcomeNotApplied
+	case errors.As(err, &badNote):
+		status, body.Error, body.Problems = http.StatusBadRequest, CodeBadNote, badNote.Problems
+	case errors.As(err, &conflict):
+		status, body.Error = http.StatusConflict, CodeConflict
+		body.WinningNote, body.Version = conflict.WinningNote, conflict.Version
+	case errors.As(err, &store):
+		status, body.Error, body.Outcome = http.StatusServiceUnavailable, CodeStoreUnavailable, outcomeNotApplied
+		if store.Unknown {
+			body.Outcome = wire.Unknown.String()
+		}
+	default:
+		body.Error, body.Outcome = CodeInternal, wire.Unknown.String()
+	}
+	s.opts.Log.WithError(err).WithField("request", body.Request).WithField("error_code", body.Error).
+		Warn("operator call failed")
+	return c.JSON(status, body)
+}
+
+// getConfig handles GET /v1/operator/config.
+func (s *Server) getConfig(c echo.Context) error {
+	cfg := s.opts.Configs.Current()
+	if cfg == nil {
+		return s.write(c, notRun(requestID(c), CodeNoConfiguration, "host has no configuration yet"))
+	}
+	return c.JSON(http.StatusOK, cfg)
+}
+
+// getHistory handles GET /v1/operator/history.
+func (s *Server) getHistory(c echo.Context) error {
+	history, err := s.opts.Operator.History(c.Request().Context())
+	if err != nil {
+		return s.operatorFailed(c, err)
+	}
+	return c.JSON(http.StatusOK, history)
+}
+
+type hostsBody struct {
+	Self  string     `json:"self"`
+	Hosts []hostBody `json:"hosts"`
+}
+
+type hostBody struct {
+	Name          string `json:"name"`
+	Addr          string `json:"addr"`
+	HTTPAddr      string `json:"http_addr"`
+	DataCentre    string `json:"data_centre"`
+	State         string `json:"state"`
+	ConfigVersion uint64 `json:"config_version"`
+	Incarnation   uint64 `json:"incarnation"`
+}
+
+// getHosts handles GET /v1/operator/hosts.
+func (s *Server) getHosts(c echo.Context) error {
+	view := s.opts.Members.View()
+	body := hostsBody{Self: view.Self.Name, Hosts: []hostBody{}}
+	for _, h := range view.Hosts {
+		body.Hosts = append(body.Hosts, hostOf(h))
+	}
+	return c.JSON(http.StatusOK, body)
+}
+
+func hostOf(h member.Host) hostBody {
+	return hostBody{
+		Name: h.Name, Addr: h.Addr, HTTPAddr: h.HTTPAddr, DataCentre: h.DataCentre,
+		State: h.State.String(), ConfigVersion: h.ConfigVersion, Incarnation: h.Incarnation,
+	}
+}
+
+// getReplicas handles GET /v1/operator/replicas.
+func (s *Server) getReplicas(c echo.Context) error {
+	replicas := s.opts.Replicas.Replicas(c.QueryParam("service"))
+	if replicas == nil {
+		replicas = []Replica{}
+	}
+	return c.JSON(http.StatusOK, map[string][]Replica{"replicas": replicas})
+}
+
+// getBurn handles GET /v1/operator/burn.
+func (s *Server) getBurn(c echo.Context) error {
+	return c.JSON(http.StatusOK, s.opts.Burn.Report())
+}
--- /dev/null
+++ b/internal/front/options.go
@@ -0,0 +1,142 @@
+package front
+
+import (
+	"net"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/member"
+	"github.com/arbutusgauge/arbutusgauge/internal/once"
+)
+
+// Defaults of Options.
+const (
+	// DefaultDrainWait is how long a stopping host goes on accepting.
+	DefaultDrainWait = 3 * time.Second
+	// DefaultStopTimeout bounds the wait for open requests after drain_wait.
+	DefaultStopTimeout = 30 * time.Second
+	// DefaultBodyLimit bounds the body of a caller's request, in bytes.
+	DefaultBodyLimit = 1 << 20
+	// DefaultNoteLimit bounds a release note, in bytes.
+	DefaultNoteLimit = 64 << 20
+	// DefaultReadTimeout bounds the reading of one request.
+	DefaultReadTimeout = 30 * time.Second
+	// DefaultWriteTimeout bounds the writing of one answer.
+	DefaultWriteTimeout = 30 * time.Second
+	// DefaultIdleTimeout closes connections that callers no longer use.
+	DefaultIdleTimeout = 2 * time.Minute
+	// DefaultForwardTimeLeft is stated in a forwarded request when neither the
+	// caller nor the configuration gives a deadline.
+	DefaultForwardTimeLeft = 10 * time.Second
+	// DefaultForwardGrace is how much longer than the deadline a forwarding
+	// host waits for the reply of the issuing host.
+	DefaultForwardGrace = 100 * time.Millisecond
+)
+
+// Options of a Server. Zero durations and sizes take their defaults; all
+// interfaces but Listener and MetricsText are required.
+type Options struct {
+	Listener    net.Listener // required by Run only
+	Incarnation uint64       // of this process, part of request ids
+
+	Engine    Engine
+	Admission Admission
+	Configs   Configs
+	Operator  Operator
+	Members   member.Members
+	Replicas  Replicas
+	Burn      Burn
+	Forwarder Forwarder
+	Tickets   *once.Registry
+
+	Log         log.Interface
+	Metrics     tally.Scope
+	MetricsText MetricsText // content of /metrics; nil: empty
+
+	DrainWait       time.Duration
+	StopTimeout     time.Duration // after DrainWait, when Run's context ends
+	BodyLimit       int64         // bytes
+	NoteLimit       int64         // bytes
+	ReadTimeout     time.Duration
+	WriteTimeout    time.Duration
+	IdleTimeout     time.Duration
+	ForwardTimeLeft time.Duration
+	ForwardGrace    time.Duration
+}
+
+// WithDefaults returns the options with zero durations and sizes replaced.
+func (o Options) WithDefaults() Options {
+	durations := []struct {
+		value *time.Duration
+		def   time.Duration
+	}{
+		{&o.DrainWait, DefaultDrainWait},
+		{&o.StopTimeout, DefaultStopTimeout},
+		{&o.ReadTimeout, DefaultReadTimeout},
+		{&o.WriteTimeout, DefaultWriteTimeout},
+		{&o.IdleTimeout, DefaultIdleTimeout},
+		{&o.ForwardTimeLeft, DefaultForwardTimeLeft},
+		{&o.ForwardGrace, DefaultForwardGrace},
+	}
+	for _, d := range durations {
+		if *d.value == 0 {
+			*d.value = d.def
+		}
+	}
+	if o.BodyLimit == 0 {
+		o.BodyLimit = DefaultBodyLimit
+	}
+	if o.NoteLimit == 0 {
+		o.NoteLimit = DefaultNoteLimit
+	}
+	return o
+}
+
+// Validate returns an *OptionError for the first option that is not valid.
+func (o Options) Validate() error {
+	checks := []struct {
+		ok     bool
+		option string
+	}{
+		{o.Incarnation != 0, "Incarnation"},
+		{o.Engine != nil, "Engine"},
+		{o.Admission != nil, "Admission"},
+		{o.Configs != nil, "Configs"},
+		{o.Operator != nil, "Operator"},
+		{o.Members != nil, "Members"},
+		{o.Replicas != nil, "Replicas"},
+		{o.Burn != nil, "Burn"},
+		{o.Forwarder != nil, "Forwarder"},
+		{o.Tickets != nil, "Tickets"},
+		{o.Log != nil, "Log"},
+		{o.Metrics != nil, "Metrics"},
+	}
+	for _, c := range checks {
+		if !c.ok {
+			return errors.WithStack(&OptionError{Option: c.option, Allowed: "a value; it is required"})
+		}
+	}
+	positive := []struct {
+		value  int64
+		option string
+	}{
+		{int64(o.DrainWait), "DrainWait"},
+		{int64(o.StopTimeout), "StopTimeout"},
+		{o.BodyLimit, "BodyLimit"},
+		{o.NoteLimit, "NoteLimit"},
+		{int64(o.ReadTimeout), "ReadTimeout"},
+		{int64(o.WriteTimeout), "WriteTimeout"},
+		{int64(o.IdleTimeout), "IdleTimeout"},
+		{int64(o.ForwardTimeLeft), "ForwardTimeLeft"},
+		{int64(o.ForwardGrace), "ForwardGrace"},
+	}
+	for _, p := range positive {
+		if p.value <= 0 {
+			return errors.WithStack(&OptionError{Option: p.option, Allowed: "more than 0"})
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/front/types.go
@@ -0,0 +1,166 @@
+// Package front is the HTTP interface of an entry host to callers and
+// operators, and the receiving side of forwarded ticketed requests.
+package front
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/peer/peerpb"
+	"github.com/arbutusgauge/arbutusgauge/internal/release"
+	"github.com/arbutusgauge/arbutusgauge/internal/wire"
+)
+
+// Search is a validated search of one caller.
+type Search struct {
+	Request       string // request id
+	Config        *release.Config
+	Service       *release.Service
+	Search        *release.Search
+	Ledgers       wire.RangeSet // requested ledgers
+	Deadline      time.Time     // with the monotonic clock
+	LeastCoverage float64       // fraction 0 to 1
+	Payload       []byte
+	// Repeatable is false for every ticketed request.
+	Repeatable bool
+}
+
+// Answer is the result of a search that reached its least coverage.
+type Answer struct {
+	ConfigVersion uint64
+	Snapshot      uint64
+	Rows          []wire.Row
+	Coverage      Coverage
+	SlowestShard  uint32
+	Work          Work
+	Warnings      []string
+}
+
+// Coverage says which of the requested ledgers an answer covers.
+type Coverage struct {
+	Fraction  float64        `json:"fraction"`
+	Requested uint64         `json:"requested"` // ledgers
+	Covered   uint64         `json:"covered"`   // ledgers
+	Included  []Included     `json:"included"`
+	Missing   []MissingRange `json:"missing"`
+}
+
+// Included is a covered range of ledgers of one shard.
+type Included struct {
+	Shard uint32        `json:"shard"`
+	Range wire.KeyRange `json:"range"`
+}
+
+// MissingRange is a range of ledgers that is not covered.
+type MissingRange struct {
+	Shard  uint32        `json:"shard"`
+	Range  wire.KeyRange `json:"range"`
+	Reason wire.Reason   `json:"reason"`
+}
+
+// Work counts the sub-requests of a search.
+type Work struct {
+	FirstTries int `json:"first_tries"`
+	Hedges     int `json:"hedges"`
+	Retries    int `json:"retries"`
+	Cancelled  int `json:"cancelled"`
+	Dropped    int `json:"dropped"` // replies to attempts that had ended
+}
+
+// Engine runs searches. Run returns an answer or an error; *SearchError states
+// the outcome, and after any other error the outcome is unknown.
+type Engine interface {
+	Run(ctx context.Context, search Search) (*Answer, error)
+}
+
+// Admission accepts or refuses whole searches.
+type Admission interface {
+	// Admit returns a function that ends the search's admission, or
+	// *OverloadedError.
+	Admit(service *release.Service, search *release.Search) (done func(), err error)
+}
+
+// Configs gives the configuration in force; nil when there is none.
+type Configs interface {
+	Current() *release.Config
+}
+
+// Operator applies release notes.
+type Operator interface {
+	// Apply checks a note and, unless dryRun is set, brings it into force.
+	// Errors: *BadNoteError, *ConflictError, *StoreError.
+	Apply(ctx context.Context, file string, note []byte, dryRun bool) (*Applied, error)
+	// History returns the last notes, newest first. Errors: *StoreError.
+	History(ctx context.Context) (*History, error)
+}
+
+// Applied is the result of a release note.
+type Applied struct {
+	Applied bool   `json:"applied"`
+	Version uint64 `json:"version"`
+	Note    string `json:"note"`
+	Already bool   `json:"already"` // the note was in force before the call
+}
+
+// History lists the last notes, newest first.
+type History struct {
+	Version uint64               `json:"version"`
+	Notes   []release.NoteRecord `json:"notes"`
+}
+
+// Replicas gives what this host, as owner, knows of replicas.
+type Replicas interface {
+	// Replicas returns the replicas of one service, or of all when service is
+	// empty.
+	Replicas(service string) []Replica
+}
+
+// Replica is the state of one replica at its owner.
+type Replica struct {
+	Replica     wire.ReplicaID `json:"replica"`
+	Service     string         `json:"service"`
+	Shard       uint32         `json:"shard"`
+	State       string         `json:"state"`
+	InFlight    uint32         `json:"in_flight"`
+	Queued      uint32         `json:"queued"`
+	Slots       uint32         `json:"slots"`
+	Held        HeldSnapshots  `json:"held"`
+	Connections uint32         `json:"connections"`
+}
+
+// HeldSnapshots is the range of snapshots that a replica holds.
+type HeldSnapshots struct {
+	Oldest uint64 `json:"oldest"`
+	Newest uint64 `json:"newest"`
+}
+
+// Burn keeps the service-level accounting.
+type Burn interface {
+	// Record counts one ended request.
+	Record(Observation)
+	// Report returns this host's counters in their JSON form.
+	Report() any
+}
+
+// Observation is one ended request as the service-level accounting sees it.
+type Observation struct {
+	Service  string
+	Search   *release.Search
+	Outcome  wire.Outcome
+	Code     Code // empty when answered
+	Coverage float64
+	Latency  time.Duration
+}
+
+// Forwarder sends ticketed requests to the hosts that issued the tickets.
+type Forwarder interface {
+	// RunTicketed forwards a request to the host at addr. After an error the
+	// request may have run, unless the error says otherwise.
+	RunTicketed(ctx context.Context, addr string, request *peerpb.TicketedRequest) (*peerpb.TicketedReply, error)
+}
+
+// MetricsText writes all metrics as text, one "name{tag=value} number" a line.
+type MetricsText interface {
+	io.WriterTo
+}
--- /dev/null
+++ b/internal/once/errors.go
@@ -0,0 +1,87 @@
+package once
+
+import (
+	"fmt"
+	"time"
+)
+
+// InvalidError reports a text that is not a ticket, or a ticket that this
+// process never issued. No request has run with it.
+type InvalidError struct{ Reason string }
+
+// Error implements error.
+func (e *InvalidError) Error() string { return "ticket is invalid: " + e.Reason }
+
+// NotMineError reports a ticket that another host issued.
+type NotMineError struct{ Ticket Ticket }
+
+// Error implements error.
+func (e *NotMineError) Error() string {
+	return "ticket was issued by host " + e.Ticket.Addr + " in data centre " + e.Ticket.DataCentre
+}
+
+// WrongIncarnationError reports a ticket of an earlier process at this
+// address. Whether its request ran is not known.
+type WrongIncarnationError struct {
+	Ticket  Ticket
+	Current uint64
+}
+
+// Error implements error.
+func (e *WrongIncarnationError) Error() string {
+	return fmt.Sprintf("ticket was issued by incarnation %d of host %s, which now runs incarnation %d",
+		e.Ticket.Incarnation, e.Ticket.Addr, e.Current)
+}
+
+// ExpiredError reports a ticket whose request did not run within the ticket
+// life and now never will.
+type ExpiredError struct{ Life time.Duration }
+
+// Error implements error.
+func (e *ExpiredError) Error() string {
+	return "ticket expired: it was not used within " + e.Life.String()
+}
+
+// RunningError reports a ticket whose request is in progress.
+type RunningError struct{}
+
+// Error implements error.
+func (e *RunningError) Error() string { return "request of this ticket is in progress" }
+
+// UsedError reports a ticket whose request ran or may have run. Stored is nil
+// when the answer is no longer kept.
+type UsedError struct{ Stored *Stored }
+
+// Error implements error.
+func (e *UsedError) Error() string {
+	if e.Stored == nil {
+		return "ticket was used and its answer is no longer kept"
+	}
+	return "ticket was used and its answer is kept"
+}
+
+// OtherRequestError reports a ticket that was first used with another request.
+// The presented request has not run.
+type OtherRequestError struct{}
+
+// Error implements error.
+func (e *OtherRequestError) Error() string { return "ticket belongs to another request" }
+
+// FullError reports that a limit of the registry is reached. Nothing ran.
+type FullError struct {
+	Limit string
+	Value int
+}
+
+// Error implements error.
+func (e *FullError) Error() string {
+	return fmt.Sprintf("ticket registry is full: limit %s is %d", e.Limit, e.Value)
+}
+
+// OptionError reports an option out of its range.
+type OptionError struct{ Option, Allowed string }
+
+// Error implements error.
+func (e *OptionError) Error() string {
+	return "ticket option " + e.Option + " is out of range; allowed is " + e.Allowed
+}
