--- a/internal/front/errors.go
+++ b/internal/front/errors.go
@@ -41,6 +41,7 @@
 	Message    string
 	RetryAfter time.Duration // 0: none
 	Coverage   *Coverage     // nil when the search did not run
+	Seen       Seen
 }
 
 // Error implements error.
--- a/internal/front/fakes_test.go
+++ b/internal/front/fakes_test.go
@@ -52,11 +52,11 @@
 	}, nil
 }
 
-func (f *fakes) Admit(*release.Service, *release.Search) (func(), error) {
+func (f *fakes) Admit(*release.Service, *release.Search) (func(front.Feedback), error) {
 	if f.admit != nil {
 		return nil, f.admit()
 	}
-	return func() {}, nil
+	return func(front.Feedback) {}, nil
 }
 
 func (f *fakes) Current() *release.Config {
--- a/internal/front/search.go
+++ b/internal/front/search.go
@@ -59,26 +59,40 @@
 	if err != nil {
 		return s.refused(r, err)
 	}
-	defer done()
+	var feedback Feedback
+	defer func() { done(feedback) }()
 	ctx, cancel := context.WithDeadline(ctx, search.Deadline)
 	defer cancel()
+	began := time.Now()
 	answer, err := s.opts.Engine.Run(ctx, *search)
-	if err != nil {
-		return failed(r.id, err)
+	if err == nil && answer == nil {
+		err = errors.WithStack(&SearchError{
+			Code: CodeInternal, Outcome: wire.Unknown, Message: "search ended without an answer",
+		})
 	}
-	if answer == nil {
-		return unknown(r.id, CodeInternal, "search ended without an answer")
+	if err != nil {
+		e := searchError(err)
+		feedback.Seen = e.Seen
+		if e.Outcome != wire.NotRun {
+			feedback.Latency = time.Since(began)
+		}
+		return fail(r.id, e)
 	}
+	feedback = Feedback{Seen: answer.Seen, Latency: time.Since(began)}
 	return answered(r.id, answer, time.Since(r.arrival))
 }
 
-// failed returns the response of an engine's error.
-func failed(id string, err error) *response {
-	var se *SearchError
-	if errors.As(err, &se) {
-		return fail(id, se)
+// searchError returns the engine's error with its outcome. An answered outcome
+// makes no sense on an error and counts as unknown, like a missing one.
+func searchError(err error) *SearchError {
+	var e *SearchError
+	if !errors.As(err, &e) {
+		return &SearchError{Code: CodeUnknownOutcome, Outcome: wire.Unknown, Message: err.Error()}
+	}
+	if e.Outcome == wire.Answered {
+		e.Outcome = wire.Unknown
 	}
-	return unknown(id, CodeUnknownOutcome, err.Error())
+	return e
 }
 
 // refused returns the response of an admission error.
--- a/internal/front/types.go
+++ b/internal/front/types.go
@@ -35,6 +35,7 @@
 	SlowestShard  uint32
 	Work          Work
 	Warnings      []string
+	Seen          Seen
 }
 
 // Coverage says which of the requested ledgers an answer covers.
@@ -76,9 +77,21 @@
 
 // Admission accepts or refuses whole searches.
 type Admission interface {
-	// Admit returns a function that ends the search's admission, or
-	// *OverloadedError.
-	Admit(service *release.Service, search *release.Search) (done func(), err error)
+	// Admit returns a function that ends the search's admission, to be called
+	// once, or *OverloadedError.
+	Admit(service *release.Service, search *release.Search) (done func(Feedback), err error)
+}
+
+// Feedback tells admission how an admitted search went.
+type Feedback struct {
+	Seen    Seen
+	Latency time.Duration // 0: the search did not run
+}
+
+// Seen is what the replies of a search told about the load on the owners.
+type Seen struct {
+	Wait    time.Duration // greatest expected queue wait
+	Refused bool          // an owner refused a sub-request because of load
 }
 
 // Configs gives the configuration in force; nil when there is none.
--- a/internal/once/registry.go
+++ b/internal/once/registry.go
@@ -203,13 +203,13 @@
 		rec.place = r.released.PushBack(rec)
 		return
 	}
-	for e := r.kept.Front(); e != nil && r.bytes+len(answer.Body) > r.opts.AnswerBytes; e = r.kept.Front() {
-		r.drop(r.kept, e)
-	}
 	if len(answer.Body) > r.opts.AnswerBytes {
 		delete(r.records, rec.seq)
 		return
 	}
+	for e := r.kept.Front(); e != nil && r.bytes+len(answer.Body) > r.opts.AnswerBytes; e = r.kept.Front() {
+		r.drop(r.kept, e)
+	}
 	rec.stored = Stored{Outcome: outcome, Answer: answer}
 	r.bytes += len(answer.Body)
 	rec.place = r.kept.PushBack(rec)
