--- /dev/null
+++ b/internal/platform/httpkv/client_test.go
@@ -0,0 +1,133 @@
+package httpkv_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/jwcc"
+	"github.com/arbutusgauge/arbutusgauge/internal/platform"
+	"github.com/arbutusgauge/arbutusgauge/internal/platform/httpkv"
+	standin "github.com/arbutusgauge/arbutusgauge/internal/standin/platform"
+)
+
+func start(t *testing.T) (*standin.Server, *httpkv.Client) {
+	t.Helper()
+	server := standin.NewServer()
+	listener := httptest.NewServer(server)
+	t.Cleanup(listener.Close)
+	client, err := httpkv.New(httpkv.Options{
+		URL: listener.URL, CallTimeout: 300 * time.Millisecond, WatchWait: 50 * time.Millisecond,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return server, client
+}
+
+// Guards against an adapter that hides a lost race or an absent key.
+func TestCompareAndSwap(t *testing.T) {
+	g := NewWithT(t)
+	_, client := start(t)
+	ctx := context.Background()
+
+	entry, err := client.Get(ctx, "config/manifest")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(entry.Revision).To(BeZero())
+
+	entry, err = client.CompareAndSwap(ctx, "config/manifest", 0, []byte("one"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(entry.Revision).To(Equal(uint64(1)))
+
+	_, err = client.CompareAndSwap(ctx, "config/manifest", 0, []byte("two"))
+	var conflict *platform.ConflictError
+	g.Expect(errors.As(err, &conflict)).To(BeTrue())
+	g.Expect(string(conflict.Current.Value)).To(Equal("one"))
+
+	_, err = client.CompareAndSwap(ctx, "large", 0, make([]byte, 1<<20+1))
+	var tooLarge *httpkv.TooLargeError
+	g.Expect(errors.As(err, &tooLarge)).To(BeTrue())
+}
+
+// Guards against a lost reply that is reported as applied or as not applied,
+// and against a second sending of the write.
+func TestLostReplyIsUnavailableAndWrittenOnce(t *testing.T) {
+	g := NewWithT(t)
+	server, client := start(t)
+	ctx := context.Background()
+	_, err := client.Get(ctx, "k") // leaves a kept connection behind
+	g.Expect(err).NotTo(HaveOccurred())
+	server.SetFaults(standin.Faults{LoseReplies: 1})
+
+	_, err = client.CompareAndSwap(ctx, "k", 0, []byte("v"))
+	var down *platform.UnavailableError
+	g.Expect(errors.As(err, &down)).To(BeTrue())
+
+	entry, err := client.Get(ctx, "k")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(entry).To(Equal(platform.Entry{Key: "k", Value: []byte("v"), Revision: 1}))
+	g.Expect(server.Counters().Writes).To(Equal(uint64(1)))
+}
+
+// Guards against a slow write that its caller gave up on and that the
+// stand-in then drops, which would make the fault milder than a real one.
+func TestSlowWriteTakesEffectAfterItsCallerGaveUp(t *testing.T) {
+	g := NewWithT(t)
+	server, client := start(t)
+	server.SetFaults(standin.Faults{Delay: jwcc.Duration(400 * time.Millisecond)})
+	_, err := client.CompareAndSwap(context.Background(), "k", 0, []byte("v"))
+	var down *platform.UnavailableError
+	g.Expect(errors.As(err, &down)).To(BeTrue())
+	server.SetFaults(standin.Faults{})
+	g.Eventually(func() uint64 {
+		entry, _ := client.Get(context.Background(), "k")
+		return entry.Revision
+	}, "2s").Should(Equal(uint64(1)))
+}
+
+// Guards against a watch that misses a change or that ends early.
+func TestWatch(t *testing.T) {
+	g := NewWithT(t)
+	server, client := start(t)
+	got := make(chan platform.Entry, 1)
+	go func() {
+		entry, _ := client.Watch(context.Background(), "k", 0)
+		got <- entry
+	}()
+	g.Consistently(got, "150ms").ShouldNot(Receive())
+	_, err := client.CompareAndSwap(context.Background(), "k", 0, []byte("v"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(got).Should(Receive(HaveField("Revision", uint64(1))))
+
+	server.SetFaults(standin.Faults{Down: true})
+	_, err = client.Watch(context.Background(), "k", 1)
+	var down *platform.UnavailableError
+	g.Expect(errors.As(err, &down)).To(BeTrue())
+}
+
+// Guards against a host list that shows a change before its lag.
+func TestHostListLags(t *testing.T) {
+	g := NewWithT(t)
+	server, client := start(t)
+	row := platform.ListedHost{Addr: "10.0.0.1:7000", Role: platform.RoleEntry, DataCentre: "badin", State: platform.HostLive}
+	server.SetFaults(standin.Faults{HostListLag: jwcc.Duration(200 * time.Millisecond)})
+	server.SetHosts([]platform.ListedHost{row})
+
+	hosts, err := client.Hosts(context.Background(), 0, 50*time.Millisecond)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(hosts.Hosts).To(BeEmpty())
+	hosts, err = client.Hosts(context.Background(), 0, time.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(hosts).To(Equal(platform.Hosts{Revision: 1, Hosts: []platform.ListedHost{row}}))
+}
+
+func TestOptionsAreChecked(t *testing.T) {
+	g := NewWithT(t)
+	_, err := httpkv.New(httpkv.Options{URL: "no address"})
+	var option *httpkv.OptionError
+	g.Expect(errors.As(err, &option)).To(BeTrue())
+}
