--- a/Makefile
+++ b/Makefile
@@ -4,15 +4,15 @@
 PACKAGES ?= ./...
 TEST_TIMEOUT ?= 8m
 
-.PHONY: build demo test race lint format generate generate-check
+.PHONY: build demo test lint format generate generate-check
 
 build:
 	$(GO) build -o bin/ ./cmd/...
 
-test:
-	$(GO) test -timeout $(TEST_TIMEOUT) $(PACKAGES)
+demo: build
+	bin/demo
 
-race:
+test:
 	$(GO) test -race -timeout $(TEST_TIMEOUT) $(PACKAGES)
 
 lint:
