--- /dev/null
+++ b/internal/member/errors.go
@@ -0,0 +1,42 @@
+package member
+
+import "strconv"
+
+// OptionError reports an option that is out of range.
+type OptionError struct{ Option, Allowed string }
+
+// Error implements error.
+func (e *OptionError) Error() string {
+	return "option " + e.Option + " is out of range; allowed is " + e.Allowed
+}
+
+// ReplacedError reports that another process runs under this host's name with
+// a higher incarnation, so this process must stop.
+type ReplacedError struct {
+	Name        string
+	Addr        string // of the other process
+	Incarnation uint64 // of the other process
+}
+
+// Error implements error.
+func (e *ReplacedError) Error() string {
+	return "host " + e.Name + " was replaced by the process at " + e.Addr + " with incarnation " +
+		strconv.FormatUint(e.Incarnation, 10)
+}
+
+// NoAnswerError reports a membership message that got no usable answer.
+type NoAnswerError struct {
+	Addr string
+	Err  error // nil when another host answered at the address
+}
+
+// Error implements error.
+func (e *NoAnswerError) Error() string {
+	if e.Err == nil {
+		return "host at " + e.Addr + " is not the one that was asked for"
+	}
+	return "host at " + e.Addr + " did not answer: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *NoAnswerError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/member/sim_test.go
@@ -0,0 +1,240 @@
+package member
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/peer/peerpb"
+)
+
+// simRetention is short, so that tests outlast it.
+const simRetention = 90 * time.Second
+
+// network is a simulated network with loss, partitions and paused hosts.
+type network struct {
+	mu      sync.Mutex
+	rng     *rand.Rand
+	loss    float64
+	hosts   map[string]*simHost // by address
+	blocked func(from, to Host) bool
+	calls   atomic.Uint64
+	bytes   atomic.Uint64 // both directions
+	largest atomic.Uint64 // largest message that is not a TABLE message
+}
+
+type simHost struct {
+	*Agent
+	net    *network
+	cancel context.CancelFunc
+	done   chan error
+	mu     sync.Mutex
+	resume chan struct{} // not nil while paused
+}
+
+type link struct {
+	net  *network
+	from Host
+}
+
+func (l link) Gossip(ctx context.Context, addr string, m *peerpb.GossipMessage) (*peerpb.GossipMessage, error) {
+	n := l.net
+	n.calls.Add(1)
+	n.count(m)
+	target := n.pass(l.from, addr)
+	if target == nil || target.paused() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	time.Sleep(n.delay(l.from, target.opts.Self))
+	reply, err := target.HandleGossip(ctx, proto.Clone(m).(*peerpb.GossipMessage))
+	if err != nil {
+		return nil, err
+	}
+	n.count(reply)
+	if n.pass(l.from, addr) != target {
+		<-ctx.Done()
+	}
+	time.Sleep(n.delay(l.from, target.opts.Self))
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	return proto.Clone(reply).(*peerpb.GossipMessage), nil
+}
+
+func (n *network) count(m *peerpb.GossipMessage) {
+	size := uint64(proto.Size(m))
+	n.bytes.Add(size)
+	for m.Kind != peerpb.GossipMessage_TABLE {
+		if old := n.largest.Load(); size <= old || n.largest.CompareAndSwap(old, size) {
+			return
+		}
+	}
+}
+
+func (n *network) delay(a, b Host) time.Duration {
+	if a.DataCentre == b.DataCentre {
+		return 200 * time.Microsecond
+	}
+	return 5 * time.Millisecond
+}
+
+func (n *network) pass(from Host, addr string) *simHost {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	target := n.hosts[addr]
+	if target == nil || n.rng.Float64() < n.loss || n.blocked != nil && n.blocked(from, target.opts.Self) {
+		return nil
+	}
+	return target
+}
+
+// set replaces the faults.
+func (n *network) set(loss float64, blocked func(from, to Host) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loss, n.blocked = loss, blocked
+}
+
+func newNetwork() *network {
+	return &network{rng: rand.New(rand.NewPCG(1, 1)), hosts: map[string]*simHost{}}
+}
+
+var dataCentres = []string{"badin", "thatta", "tando"}
+
+func hostName(i int) string { return fmt.Sprintf("%s-%d", dataCentres[i%3], i/3) }
+
+// start runs a process of host i.
+func (n *network) start(t testing.TB, i int, seeds ...string) *simHost {
+	t.Helper()
+	return n.startHost(t, Host{
+		Name: hostName(i), Addr: fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250),
+		HTTPAddr: fmt.Sprintf("10.0.%d.%d:7001", i/250, i%250), DataCentre: dataCentres[i%3],
+	}, seeds...)
+}
+
+func (n *network) startHost(t testing.TB, self Host, seeds ...string) *simHost {
+	t.Helper()
+	quiet := &log.Logger{Handler: discard.New()}
+	agent, err := New(Options{Self: self, Seeds: seeds, Gossiper: link{n, self}, Retention: simRetention, Seed: uint64(len(self.Addr)) + 7, Log: quiet})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &simHost{Agent: agent, net: n, cancel: cancel, done: make(chan error, 1)}
+	agent.gate = h.gateWait
+	n.mu.Lock()
+	n.hosts[self.Addr] = h
+	n.mu.Unlock()
+	go func() { h.done <- agent.Run(ctx) }()
+	return h
+}
+
+// startAll runs n hosts whose first three are the seeds.
+func (n *network) startAll(t testing.TB, count int) []*simHost {
+	t.Helper()
+	var out []*simHost
+	for i := range count {
+		out = append(out, n.start(t, i, "10.0.0.0:7000", "10.0.0.1:7000", "10.0.0.2:7000"))
+	}
+	return out
+}
+
+// kill ends a process without a farewell.
+func (n *network) kill(h *simHost) {
+	n.mu.Lock()
+	delete(n.hosts, h.opts.Self.Addr)
+	n.mu.Unlock()
+	h.cancel()
+	<-h.done
+}
+
+func (n *network) stopAll() {
+	n.mu.Lock()
+	var all []*simHost
+	for _, h := range n.hosts {
+		all = append(all, h)
+	}
+	n.mu.Unlock()
+	for _, h := range all {
+		h.unpause()
+		n.kill(h)
+	}
+}
+
+func (h *simHost) gateWait() {
+	h.mu.Lock()
+	resume := h.resume
+	h.mu.Unlock()
+	if resume != nil {
+		<-resume
+	}
+}
+
+func (h *simHost) paused() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.resume != nil
+}
+
+func (h *simHost) pause() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.resume = make(chan struct{})
+}
+
+func (h *simHost) unpause() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.resume != nil {
+		close(h.resume)
+		h.resume = nil
+	}
+}
+
+// states returns the states in the view of h by host name.
+func (h *simHost) states() map[string]State {
+	out := map[string]State{}
+	for _, host := range h.View().Hosts {
+		out[host.Name] = host.State
+	}
+	return out
+}
+
+// allLive reports whether every view holds exactly the hosts, all live.
+func allLive(hosts []*simHost) bool {
+	for _, h := range hosts {
+		states := h.states()
+		if len(states) != len(hosts) {
+			return false
+		}
+		for _, s := range states {
+			if s != Live {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// until advances virtual time until ok holds and returns how long it took, or
+// fails the test after limit.
+func until(t testing.TB, limit time.Duration, what string, ok func() bool) time.Duration {
+	t.Helper()
+	begin := time.Now()
+	for !ok() {
+		if time.Since(begin) > limit {
+			t.Fatalf("not within %s: %s", limit, what)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return time.Since(begin)
+}
--- a/internal/member/types.go
+++ b/internal/member/types.go
@@ -1,7 +1,12 @@
 // Package member knows which entry hosts live and which are leaving.
 package member
 
-import "github.com/arbutusgauge/arbutusgauge/internal/wire"
+import (
+	"context"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/peer/peerpb"
+	"github.com/arbutusgauge/arbutusgauge/internal/wire"
+)
 
 // State of an entry host. Higher states win over lower ones at one counter.
 type State uint8
@@ -42,6 +47,9 @@
 	State       State
 	// ConfigVersion is the version last heard from the host; 0 if none.
 	ConfigVersion uint64
+	// SuspectedHere is true while the host is Suspect because this process saw
+	// a connection or a probe of it fail.
+	SuspectedHere bool
 }
 
 // View is an immutable snapshot of the member table.
@@ -62,3 +70,9 @@
 	// its owner duties move before the failure detector notices.
 	Suspect(addr string)
 }
+
+// Gossiper carries one membership message to the host at addr and returns its
+// answer. An error means that no answer came.
+type Gossiper interface {
+	Gossip(ctx context.Context, addr string, m *peerpb.GossipMessage) (*peerpb.GossipMessage, error)
+}
