--- a/internal/release/manifest.go
+++ b/internal/release/manifest.go
@@ -28,6 +28,9 @@
 	Version uint64 `json:"version"`
 	Author  string `json:"author"`
 	Summary string `json:"summary"`
+	// Digest is the content hash of the note, which tells a note that is
+	// presented again from another one with the same id.
+	Digest string `json:"digest,omitempty"`
 }
 
 // maxRecentNotes bounds the notes kept in a manifest.
