Add gaugectl, the operators' command

Cause: operators apply notes, watch them come into force and run searches from scripts and terminals, and must never cause a second run of a search that is not repeatable. Change: cmd/gaugectl with its logic in internal/operator: check, diff, apply, history, versions, services, search, coverage, replicas and burn over the HTTP interface. A search with a ticket goes to another host only if no byte was sent. Exit codes are fixed for scripts.

--- a/internal/jwcc/errors.go
+++ b/internal/jwcc/errors.go
@@ -34,7 +34,7 @@
 	return b.String()
 }
 
-// Error lists the problems of one document in order of their place.
+// Error lists the problems of one document.
 type Error struct{ Problems []Problem }
 
 // Error implements error with one line for each problem.
--- /dev/null
+++ b/internal/operator/errors.go
@@ -0,0 +1,232 @@
+package operator
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/jwcc"
+	"github.com/arbutusgauge/arbutusgauge/internal/release"
+)
+
+// UsageError reports a command line that is not allowed.
+type UsageError struct{ Message string }
+
+// Error implements error.
+func (e *UsageError) Error() string { return e.Message }
+
+// FileError reports a file that could not be read or written.
+type FileError struct {
+	File string
+	Err  error
+}
+
+// Error implements error.
+func (e *FileError) Error() string { return "file " + e.File + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *FileError) Unwrap() error { return e.Err }
+
+// NotSentError reports a call of which no byte was sent.
+type NotSentError struct {
+	Host string
+	Err  error
+}
+
+// Error implements error.
+func (e *NotSentError) Error() string {
+	return "host " + e.Host + " could not be reached: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Err }
+
+// LostError reports a call that was sent and got no complete answer, so that
+// it may have run.
+type LostError struct {
+	Host string
+	Read bool // the call changes nothing
+	Err  error
+}
+
+// Error implements error.
+func (e *LostError) Error() string {
+	if e.Read {
+		return "host " + e.Host + " gave no complete answer: " + e.Err.Error()
+	}
+	return "the answer of host " + e.Host + " was lost, so the call may have run: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *LostError) Unwrap() error { return e.Err }
+
+// AnswerError reports a call that a host answered with an error.
+type AnswerError struct {
+	Host   string
+	Read   bool // the call changes nothing
+	Status int
+	Reply  errorReply
+}
+
+// Error implements error.
+func (e *AnswerError) Error() string {
+	text := fmt.Sprintf("host %s answered %d %s", e.Host, e.Status, e.Reply.Error)
+	if e.Reply.Message != "" {
+		text += ": " + e.Reply.Message
+	}
+	if e.Reply.Outcome != "" {
+		text += " (outcome " + e.Reply.Outcome + ")"
+	}
+	if e.Reply.RetryAfter != "" {
+		text += ", retry after " + e.Reply.RetryAfter
+	}
+	return text
+}
+
+// ConflictError reports a note that lost to another one.
+type ConflictError struct {
+	Note, WinningNote string
+	Version           uint64
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("note %q was not applied: note %q took effect first as version %d; "+
+		"compare with \"gaugectl services\", then set base to %d", e.Note, e.WinningNote, e.Version, e.Version)
+}
+
+// HostsError reports a call that failed on every host.
+type HostsError struct{ Failures []error }
+
+// Error implements error.
+func (e *HostsError) Error() string {
+	lines := make([]string, len(e.Failures))
+	for i, failure := range e.Failures {
+		lines[i] = failure.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap returns the failures.
+func (e *HostsError) Unwrap() []error { return e.Failures }
+
+// NotInForceError reports hosts that do not show a version.
+type NotInForceError struct {
+	Version uint64
+	Waited  time.Duration
+	Behind  []string // "name (version N)"
+}
+
+// Error implements error.
+func (e *NotInForceError) Error() string {
+	if len(e.Behind) == 0 {
+		return fmt.Sprintf("version %d is not known to be in force after %s: no host list was received", e.Version, e.Waited)
+	}
+	return fmt.Sprintf("version %d is not in force after %s on: %s", e.Version, e.Waited, strings.Join(e.Behind, ", "))
+}
+
+// NoTicketError reports that a host issued no ticket, so that the search was
+// not sent.
+type NoTicketError struct{ Err error }
+
+// Error implements error.
+func (e *NoTicketError) Error() string {
+	return "the search was not run, because no ticket was received: " + e.Err.Error()
+}
+
+// UnknownOutcomeError reports a ticketed search that may have run.
+type UnknownOutcomeError struct {
+	Ticket string
+	Err    error
+}
+
+// Error implements error.
+func (e *UnknownOutcomeError) Error() string {
+	return fmt.Sprintf("%s\nthe search was not sent again; \"--ticket %s\" asks for its outcome within 1 min and can't run it twice",
+		e.Err.Error(), e.Ticket)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownOutcomeError) Unwrap() error { return e.Err }
+
+// UnknownNoteError reports a note that may have taken effect.
+type UnknownNoteError struct {
+	Note string
+	Err  error
+}
+
+// Error implements error.
+func (e *UnknownNoteError) Error() string {
+	return fmt.Sprintf("%s\nnote %q may have taken effect; applying the same file again is safe and tells", e.Err.Error(), e.Note)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownNoteError) Unwrap() error { return e.Err }
+
+// exitCode returns the exit code for an error.
+func exitCode(err error) ExitCode {
+	var (
+		usage    *UsageError
+		file     *FileError
+		problems *jwcc.Error
+		base     *release.BaseError
+		conflict *ConflictError
+		behind   *NotInForceError
+		hosts    *HostsError
+		answer   *AnswerError
+		lost     *LostError
+		unsent   *NotSentError
+		noTicket *NoTicketError
+	)
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &usage), errors.As(err, &file), errors.As(err, &problems):
+		return ExitBadInput
+	case errors.As(err, &base), errors.As(err, &conflict):
+		return ExitConflict
+	case errors.As(err, &behind):
+		return ExitNotInForce
+	case errors.As(err, &hosts):
+		return worst(hosts.Failures)
+	case errors.As(err, &answer):
+		return answer.exitCode()
+	case errors.As(err, &lost) && !lost.Read:
+		return ExitUnknown
+	case lost != nil:
+		return ExitUnavailable
+	case errors.As(err, &unsent), errors.As(err, &noTicket):
+		return ExitUnavailable
+	}
+	return ExitInternal
+}
+
+// worst returns ExitUnknown if any call may have run, as a later refusal says
+// nothing about an earlier call.
+func worst(failures []error) ExitCode {
+	for _, failure := range failures {
+		if exitCode(failure) == ExitUnknown {
+			return ExitUnknown
+		}
+	}
+	return ExitUnavailable
+}
+
+func (e *AnswerError) exitCode() ExitCode {
+	switch {
+	case e.Reply.Error == "below_coverage":
+		return ExitBelowCoverage
+	case e.Reply.Outcome == "not_run" && e.Status < http.StatusInternalServerError && e.Status != http.StatusTooManyRequests:
+		return ExitBadInput
+	case e.Reply.Outcome == "not_run", e.Reply.Outcome == "not_applied":
+		return ExitUnavailable
+	case e.Status == http.StatusBadRequest, e.Status == http.StatusNotFound:
+		return ExitBadInput
+	case e.Read:
+		return ExitUnavailable
+	}
+	return ExitUnknown
+}
--- /dev/null
+++ b/internal/operator/search.go
@@ -0,0 +1,177 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/release"
+	"github.com/arbutusgauge/arbutusgauge/internal/wire"
+)
+
+// ticketAuto asks the host for a ticket before the search.
+const ticketAuto = "auto"
+
+func (f searchFlags) request() (searchRequest, error) {
+	out := searchRequest{LeastCoverage: f.leastCoverage, Payload: f.payload}
+	switch {
+	case f.hi == 0 && f.lo != 0:
+		return out, &UsageError{Message: "--lo needs --hi; allowed is --lo below --hi"}
+	case f.hi != 0 && f.lo >= f.hi:
+		return out, &UsageError{Message: fmt.Sprintf("--lo %d is not below --hi %d", f.lo, f.hi)}
+	case f.hi != 0:
+		out.Range = &wire.KeyRange{Lo: f.lo, Hi: f.hi}
+	}
+	if f.deadline < 0 || f.deadline > longestSearch {
+		return out, &UsageError{Message: fmt.Sprintf("--deadline %s is not allowed; allowed is 0s to %s", f.deadline, longestSearch)}
+	}
+	if f.deadline > 0 {
+		out.Deadline = f.deadline.String()
+	}
+	if !(f.leastCoverage >= 0 && f.leastCoverage <= 1) {
+		return out, &UsageError{Message: fmt.Sprintf("--least-coverage %v is not allowed; allowed is 0 to 1", f.leastCoverage)}
+	}
+	return out, nil
+}
+
+func (s *session) search(ctx context.Context, f searchFlags) error {
+	request, err := f.request()
+	if err != nil {
+		return err
+	}
+	request.Ticket = f.ticket
+	target := *s.client
+	if f.ticket == ticketAuto {
+		// Only the host that issued a ticket may run its search.
+		issuer, ticket, err := s.ticket(ctx)
+		if err != nil {
+			return err
+		}
+		target.hosts, request.Ticket = []string{issuer}, ticket
+	}
+	found, err := target.search(ctx, f.service, f.search, request, f.deadline)
+	if err != nil {
+		return s.searchFailed(err, request.Ticket)
+	}
+	for _, warning := range found.Warnings {
+		s.warn("%s", warning)
+	}
+	return s.show(found)
+}
+
+func (s *session) ticket(ctx context.Context) (issuer, ticket string, err error) {
+	do, err := post("/v1/tickets", struct {
+		Count int `json:"count"`
+	}{1})
+	if err != nil {
+		return "", "", err
+	}
+	var reply ticketsReply
+	if issuer, err = s.client.first(ctx, do, &reply, repeatable); err != nil {
+		return "", "", &NoTicketError{Err: err}
+	}
+	if len(reply.Tickets) == 0 {
+		return "", "", &NoTicketError{Err: &AnswerError{Host: issuer, Status: http.StatusOK, Reply: errorReply{Error: "no ticket"}}}
+	}
+	return issuer, reply.Tickets[0], nil
+}
+
+// search runs a search. Without a ticket a host refuses searches that are not
+// repeatable, so these calls may be made again on the next host; a call with a
+// ticket is made again only if no byte of it was sent.
+func (c *client) search(ctx context.Context, service, search string, request searchRequest, deadline time.Duration) (*answer, error) {
+	do, err := post("/v1/services/"+url.PathEscape(service)+"/searches/"+url.PathEscape(search), request)
+	if err != nil {
+		return nil, err
+	}
+	if deadline == 0 {
+		deadline = longestSearch
+	}
+	do.timeout = deadline + answerGrace
+	next := nextHost(repeatable)
+	if request.Ticket != "" {
+		next = notRepeatable
+	}
+	var found answer
+	if _, err := c.first(ctx, do, &found, next); err != nil {
+		return nil, err
+	}
+	return &found, nil
+}
+
+// searchFailed shows the coverage that the search reached, if any, and says
+// how to learn the outcome of one that may have run.
+func (s *session) searchFailed(err error, ticket string) error {
+	var failed *AnswerError
+	if errors.As(err, &failed) && (s.opts.Output == outputJSON || failed.Reply.Coverage != nil) {
+		if err := s.show(failed.Reply); err != nil {
+			return err
+		}
+	}
+	if ticket != "" && exitCode(err) == ExitUnknown {
+		return &UnknownOutcomeError{Ticket: ticket, Err: err}
+	}
+	return err
+}
+
+func (s *session) coverage(ctx context.Context, service, search string) error {
+	cfg, err := s.config(ctx)
+	if err != nil {
+		return err
+	}
+	known, ok := cfg.Searches[release.SearchKey(service, search)]
+	if !ok {
+		return &UsageError{Message: fmt.Sprintf("service %q has no search %q in version %d", service, search, cfg.Version)}
+	}
+	if !known.Repeatable {
+		return &UsageError{Message: fmt.Sprintf("search %q is not repeatable and is not run to look at its coverage; choose another search of service %q", search, service)}
+	}
+	found, err := s.client.search(ctx, service, search, searchRequest{}, known.Deadline.D())
+	if err != nil {
+		return s.searchFailed(err, "")
+	}
+	return s.show(found.Coverage)
+}
+
+func (v answer) writeText(w io.Writer) error {
+	rows := make([][]string, 0, len(v.Rows))
+	for _, r := range v.Rows {
+		rows = append(rows, []string{fmt.Sprint(r.Ledger), r.Key, r.Value})
+	}
+	if err := writeTable(w, []string{"LEDGER", "KEY", "VALUE"}, rows); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(w, "\nrequest %s: %d rows, snapshot %d, version %d, %s, slowest shard %d\n",
+		v.Request, len(v.Rows), v.Snapshot, v.ConfigVersion, v.Timing.Total, v.Timing.SlowestShard); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(w, "work: %d first tries, %d hedges, %d retries, %d cancelled, %d dropped\n",
+		v.Work.FirstTries, v.Work.Hedges, v.Work.Retries, v.Work.Cancelled, v.Work.Dropped); err != nil {
+		return err
+	}
+	return v.Coverage.writeText(w)
+}
+
+func (v coverage) writeText(w io.Writer) error {
+	if _, err := fmt.Fprintf(w, "coverage %v: %d of %d ledgers, from %d shards\n", v.Fraction, v.Covered, v.Requested, len(v.Included)); err != nil {
+		return err
+	}
+	for _, m := range v.Missing {
+		if _, err := fmt.Fprintf(w, "missing: shard %d, ledgers %s: %s\n", m.Shard, m.Range, m.Reason); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (v errorReply) writeText(w io.Writer) error {
+	if v.Coverage == nil {
+		return nil
+	}
+	return v.Coverage.writeText(w)
+}
