--- a/internal/backend/httpjson/conn.go
+++ b/internal/backend/httpjson/conn.go
@@ -285,11 +285,8 @@
 	if err != nil {
 		return 0, nil, c.lost(errors.WithStack(err))
 	}
-	switch {
-	case response.Close:
+	if response.Close {
 		c.close("server asked to close")
-	case c.reader.Buffered() > 0:
-		c.close("bytes after the response")
 	}
 	return response.StatusCode, body, nil
 }
--- a/internal/owner/replica.go
+++ b/internal/owner/replica.go
@@ -349,5 +349,9 @@
 		r.ownedSince = now
 		r.armProbe()
 	}
+	if !owned && r.owned {
+		// Other hosts may send here until their views agree.
+		r.lastUse = now
+	}
 	r.owned = owned
 }
