--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES ?= ./...
 TEST_TIMEOUT ?= 8m
 
-.PHONY: build demo test race lint format generate generate-check
+.PHONY: build demo test race bench lint format generate generate-check
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -15,6 +15,11 @@
 race:
 	$(GO) test -race -timeout $(TEST_TIMEOUT) $(PACKAGES)
 
+# Measures all query policies in virtual time: a table, the goals, JSON lines.
+bench:
+	@mkdir -p out
+	$(GO) test ./internal/bench -run '^TestPolicies$$' -count 1 -timeout 20m -v -policies -seed $(SEED) -lines $(CURDIR)/out/policies.jsonl | grep -v '^ *\(===\|---\)'
+
 lint:
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
--- /dev/null
+++ b/internal/bench/deployment.go
@@ -0,0 +1,96 @@
+package bench
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/jwcc"
+	"github.com/arbutusgauge/arbutusgauge/internal/release"
+	"github.com/arbutusgauge/arbutusgauge/internal/wire"
+)
+
+const (
+	hostsPerCentre = 3
+	ledgersPerPart = 10
+	searchName     = "search"
+
+	serviceMedian = 4 * time.Millisecond
+	// serviceSigma gives a p99 of 5 medians, 20 ms: ln 5 ÷ 2.326.
+	serviceSigma = 0.692
+)
+
+// serviceMean is the mean of the log-normal service time.
+func serviceMean() time.Duration {
+	return time.Duration(float64(serviceMedian) * math.Exp(serviceSigma*serviceSigma/2))
+}
+
+// Ganna is the deployment of Ganna Shift Labs.
+func Ganna() Deployment {
+	return Deployment{
+		Name: "ganna", DataCentres: []string{"badin", "thatta", "tando"}, Delay: 5 * time.Millisecond,
+		Wait: release.WaitCoverage, Least: 0.9, Goal: 120 * time.Millisecond, Deadline: 500 * time.Millisecond,
+		Services: []Shape{
+			{Name: "mill-dispatch", Shards: 20, Replicas: 2, Slots: 2, Connections: 25, ConnectCost: 6 * time.Millisecond},
+			{Name: "payroll-desk", Shards: 30, Replicas: 2, Slots: 2, Connections: 25, ConnectCost: 6 * time.Millisecond},
+			{Name: "contractor-app", Shards: 1, Replicas: 5, Slots: 6, Connections: 110, ConnectCost: time.Millisecond},
+			{Name: "field-notices", Shards: 1, Replicas: 3, Slots: 6, Connections: 110, ConnectCost: time.Millisecond},
+		},
+	}
+}
+
+// Huber is the deployment of Huber Tonnenwäsche.
+func Huber() Deployment {
+	return Deployment{
+		Name: "huber", DataCentres: []string{"depot-linz", "depot-wels", "depot-steyr"}, Delay: 4 * time.Millisecond,
+		Wait: release.WaitLatency, Least: 0.9, Goal: 80 * time.Millisecond, Deadline: 400 * time.Millisecond,
+		Services: []Shape{
+			{Name: "touren-app", Shards: 20, Replicas: 2, Slots: 2, Connections: 25, ConnectCost: 6 * time.Millisecond},
+			{Name: "buchungsportal", Shards: 30, Replicas: 2, Slots: 2, Connections: 25, ConnectCost: 6 * time.Millisecond},
+			{Name: "faktura", Shards: 1, Replicas: 13, Slots: 3, Connections: 40, ConnectCost: time.Millisecond},
+			{Name: "fuhrpark-log", Shards: 1, Replicas: 6, Slots: 3, Connections: 40, ConnectCost: time.Millisecond},
+		},
+	}
+}
+
+// queriesPerSecond is the nominal capacity of a service: all slots busy.
+func (s Shape) queriesPerSecond() float64 {
+	return float64(s.Replicas) * float64(s.Slots) / serviceMean().Seconds()
+}
+
+// config builds the configuration of a deployment. Replicas of a shard are
+// spread over the data centres.
+func (d Deployment) config(policy Policy) *release.Config {
+	config := &release.Config{
+		Version:  1,
+		Services: map[string]*release.Service{},
+		Searches: map[string]*release.Search{},
+	}
+	for n, shape := range d.Services {
+		service := &release.Service{
+			Name: shape.Name, Slots: shape.Slots, Connections: shape.Connections,
+			ConnectCost: jwcc.Duration(shape.ConnectCost),
+		}
+		if policy == PolicyUnbounded {
+			service.ExtraLoad, service.ExtraBurst = 1000, 1<<30
+		}
+		for s := range shape.Shards {
+			shard := release.Shard{ID: uint32(s), Range: wire.KeyRange{
+				Lo: uint64(s) * ledgersPerPart, Hi: uint64(s+1) * ledgersPerPart,
+			}}
+			for r := range shape.Replicas {
+				shard.Replicas = append(shard.Replicas, release.Replica{
+					Addr:       wire.ReplicaID(fmt.Sprintf("127.%d.%d.%d:80", n+1, s+1, r+1)),
+					DataCentre: d.DataCentres[(s+r)%len(d.DataCentres)],
+				})
+			}
+			service.Shards = append(service.Shards, shard)
+		}
+		config.Services[shape.Name] = service
+		config.Searches[release.SearchKey(shape.Name, searchName)] = &release.Search{
+			Name: searchName, Service: shape.Name, Repeatable: true, Wait: d.Wait, LeastCoverage: d.Least,
+			LatencyGoal: jwcc.Duration(d.Goal), Deadline: jwcc.Duration(d.Deadline),
+		}
+	}
+	return config
+}
--- /dev/null
+++ b/internal/bench/report.go
@@ -0,0 +1,50 @@
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	headForm = "%-6s %-16s %4s %-18s %-15s %7s %7s %7s %8s %6s %6s %6s %7s %6s\n"
+	rowForm  = "%-6s %-16s %4.0f %-18s %-15s %7s %7s %7s %8.4f %6.2f %6.2f %6.2f %7.2f %6.1f\n"
+)
+
+// WriteTable writes one line per case and service.
+func WriteTable(w io.Writer, results []Result) error {
+	_, err := fmt.Fprintf(w, headForm, "user", "policy", "load", "fault", "service",
+		"p50", "p99", "p99.9", "coverage", "ref%", "unk%", "below%", "extra%", "idle%")
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	for _, r := range results {
+		for _, s := range r.Services {
+			offered := float64(max(s.Offered, 1)) / 100
+			_, err := fmt.Fprintf(w, rowForm, r.Deployment, r.Policy, 100*r.Load, r.Fault, s.Service,
+				ms(s.P50), ms(s.P99), ms(s.P999), s.Coverage, float64(s.Refused)/offered,
+				float64(s.Unknown)/offered, float64(s.Below)/offered, 100*s.Extra, 100*r.Idle)
+			if err != nil {
+				return errors.WithStack(err)
+			}
+		}
+	}
+	return nil
+}
+
+// ms formats a duration in milliseconds.
+func ms(d time.Duration) string { return fmt.Sprintf("%.1f", float64(d)/float64(time.Millisecond)) }
+
+// WriteLines writes one JSON line per case.
+func WriteLines(w io.Writer, results []Result) error {
+	encoder := json.NewEncoder(w)
+	for _, r := range results {
+		if err := encoder.Encode(r); err != nil {
+			return errors.WithStack(err)
+		}
+	}
+	return nil
+}
