--- a/internal/scatter/replica.go
+++ b/internal/scatter/replica.go
@@ -94,6 +94,18 @@
 	return r.held, usable && r.held.Newest != 0
 }
 
+// freshRange is heldRange for replicas that were heard of lately and don't
+// fail.
+func (r *replica) freshRange(now time.Time) (wire.Held, bool) {
+	held, ok := r.heldRange(now)
+	if !ok {
+		return held, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return held, now.Sub(r.heldAt) <= supportAge && r.penaltyNow(now) < penaltyUnit
+}
+
 // judge returns the fitness for a snapshot and the score; a lower score is
 // better.
 func (r *replica) judge(now time.Time, snapshot uint64) (fitness, time.Duration) {
--- a/internal/scatter/run_test.go
+++ b/internal/scatter/run_test.go
@@ -311,7 +311,8 @@
 	g.Expect(p.got).To(Equal(need))
 }
 
-// Guards the snapshot choice: the largest coverage first, then the newest.
+// Guards the snapshot choice: one that most replicas hold, then the largest
+// coverage, then the newest. A replica that is stuck must not hold all back.
 func TestChooseSnapshot(t *testing.T) {
 	now := time.Now()
 	for name, c := range map[string]struct {
@@ -320,6 +321,9 @@
 	}{
 		"nothing known":        {[][]wire.Held{{{}}, {{}}}, 0},
 		"newest common":        {[][]wire.Held{{{Oldest: 40, Newest: 43}}, {{Oldest: 40, Newest: 42}, {Oldest: 38, Newest: 39}}}, 42},
+		"being published":      {[][]wire.Held{{{Oldest: 41, Newest: 43}, {Oldest: 40, Newest: 42}}}, 42},
+		"most have it":         {[][]wire.Held{{{Oldest: 41, Newest: 43}, {Oldest: 41, Newest: 43}, {Oldest: 40, Newest: 42}}}, 43},
+		"one replica is stuck": {[][]wire.Held{{{Oldest: 41, Newest: 43}, {Oldest: 38, Newest: 40}}}, 43},
 		"one shard is behind":  {[][]wire.Held{{{Oldest: 43, Newest: 44}}, {{Oldest: 43, Newest: 45}}, {{Oldest: 40, Newest: 42}}}, 44},
 		"gap between replicas": {[][]wire.Held{{{Oldest: 45, Newest: 45}, {Oldest: 40, Newest: 41}}, {{Oldest: 40, Newest: 43}}}, 41},
 		"one shard unknown":    {[][]wire.Held{{{Oldest: 40, Newest: 42}}, {{}}}, 42},
@@ -329,7 +333,7 @@
 			for i, held := range c.held {
 				shard := &tableShard{}
 				for _, h := range held {
-					shard.replicas = append(shard.replicas, &replica{held: h})
+					shard.replicas = append(shard.replicas, &replica{held: h, heldAt: now})
 				}
 				parts = append(parts, part{shard: shard, need: wire.RangeSet{{Lo: uint64(i) * 10, Hi: uint64(i)*10 + 10}}})
 			}
--- a/internal/scatter/snapshot.go
+++ b/internal/scatter/snapshot.go
@@ -8,15 +8,77 @@
 	"github.com/arbutusgauge/arbutusgauge/internal/wire"
 )
 
-// chooseSnapshot returns the newest snapshot among those that reach the
-// largest coverage of the parts, or 0 if nothing is known of any replica.
+// supportAge is the age up to which a replica's held range counts in the
+// majority of its shard.
+const supportAge = 2 * time.Second
+
+// maxVoters bounds the replicas of a shard that count in its majority.
+const maxVoters = 16
+
+// chooseSnapshot returns the snapshot of a query, or 0 if nothing is known of
+// any replica. Preferred is the newest one that most replicas of every shard
+// hold: if the newest of all were taken while it is being published, the few
+// replicas that have it already would get the whole load. Otherwise it is the
+// newest among those that reach the largest coverage.
 func chooseSnapshot(parts []part, now time.Time) uint64 {
+	if s := majoritySnapshot(parts, now); s != 0 {
+		return s
+	}
 	if s := commonSnapshot(parts, now); s != 0 {
 		return s
 	}
 	return widestSnapshot(parts, now)
 }
 
+// voters returns the held ranges that count in the majority of a part.
+func (p *part) voters(now time.Time, into *[maxVoters]wire.Held) []wire.Held {
+	out := into[:0]
+	for _, r := range p.shard.replicas {
+		if held, ok := r.freshRange(now); ok && len(out) < maxVoters {
+			out = append(out, held)
+		}
+	}
+	return out
+}
+
+// majoritySnapshot returns the newest snapshot that more than half of the
+// voters of every part hold, or 0.
+func majoritySnapshot(parts []part, now time.Time) uint64 {
+	var buffer [maxVoters]wire.Held
+	var least uint64
+	for i := range parts {
+		newest := majorityNewest(parts[i].voters(now, &buffer))
+		if newest == 0 {
+			return 0
+		}
+		if least == 0 || newest < least {
+			least = newest
+		}
+	}
+	for i := range parts {
+		voters, have := parts[i].voters(now, &buffer), 0
+		for _, held := range voters {
+			if held.Has(least) {
+				have++
+			}
+		}
+		if 2*have <= len(voters) {
+			return 0
+		}
+	}
+	return least
+}
+
+// majorityNewest returns the greatest number that more than half of the
+// voters' newest snapshots reach. It reorders voters.
+func majorityNewest(voters []wire.Held) uint64 {
+	if len(voters) == 0 {
+		return 0
+	}
+	slices.SortFunc(voters, func(a, b wire.Held) int { return cmp.Compare(b.Newest, a.Newest) })
+	return voters[len(voters)/2].Newest
+}
+
 // commonSnapshot returns the newest snapshot that every part can have, or 0.
 // No newer one can be common to all than the least of the parts' newest.
 func commonSnapshot(parts []part, now time.Time) uint64 {
