Run searches over scatter and admit, and test the front's outcomes

Change: adapters for scatter and admit; tests of every code and outcome, of forwarded tickets, deadlines from arrival, stop and operator calls.

--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -15,6 +15,7 @@
 
 	"github.com/arbutusgauge/arbutusgauge/internal/jwcc"
 	"github.com/arbutusgauge/arbutusgauge/internal/once"
+	"github.com/arbutusgauge/arbutusgauge/internal/scatter"
 	"github.com/arbutusgauge/arbutusgauge/internal/wire"
 )
 
@@ -225,3 +226,18 @@
 	}
 	return out
 }
+
+// warnings tells which shards an answer lacks, one text per shard and reason.
+func warnings(missing []MissingRange) []string {
+	var out []string
+	for _, m := range missing {
+		text := fmt.Sprintf("shard %d left out: %s", m.Shard, m.Reason)
+		if m.Shard == scatter.NoShard {
+			text = fmt.Sprintf("ledgers %s left out: %s", m.Range, m.Reason)
+		}
+		if !slices.Contains(out, text) {
+			out = append(out, text)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/front/engine.go
@@ -0,0 +1,100 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/admit"
+	"github.com/arbutusgauge/arbutusgauge/internal/release"
+	"github.com/arbutusgauge/arbutusgauge/internal/scatter"
+	"github.com/arbutusgauge/arbutusgauge/internal/wire"
+)
+
+// ScatterEngine is the Engine over the scatter package.
+type ScatterEngine struct{ Engine *scatter.Engine }
+
+// Run implements Engine.
+func (e ScatterEngine) Run(ctx context.Context, s Search) (*Answer, error) {
+	left := time.Until(s.Deadline)
+	if left <= 0 {
+		// scatter takes 0 as the search's own deadline.
+		return nil, errors.WithStack(&SearchError{
+			Code: CodeRefused, Outcome: wire.NotRun, Message: "deadline passed before the search began",
+		})
+	}
+	a, err := e.Engine.Run(ctx, scatter.Query{
+		Config: s.Config, Service: s.Service.Name, Search: s.Search.Name, Ledgers: s.Ledgers,
+		Deadline: left, LeastCoverage: s.LeastCoverage, Repeatable: s.Repeatable, Payload: s.Payload,
+	})
+	if err != nil {
+		return nil, scatterError(err)
+	}
+	out := &Answer{
+		ConfigVersion: a.ConfigVersion, Snapshot: a.Snapshot, Rows: a.Rows,
+		Coverage: coverageOf(a.Coverage), SlowestShard: a.Timing.SlowestShard,
+		Work: Work{
+			FirstTries: a.Work.FirstTries, Hedges: a.Work.Hedges, Retries: a.Work.Retries,
+			Cancelled: a.Work.Cancelled, Dropped: a.Work.Dropped,
+		},
+		Seen: Seen(a.Seen),
+	}
+	out.Warnings = warnings(out.Coverage.Missing)
+	return out, nil
+}
+
+// scatterError gives an error of scatter its code. Any other error keeps its
+// outcome unknown.
+func scatterError(err error) error {
+	out := &SearchError{Outcome: wire.Unknown, Message: err.Error(), Seen: Seen(scatter.SeenOf(nil, err))}
+	if coverage, ok := scatter.CoverageOf(nil, err); ok {
+		c := coverageOf(coverage)
+		out.Coverage = &c
+	}
+	var notRun *scatter.NotRunError
+	var below *scatter.BelowCoverageError
+	switch {
+	case errors.As(err, &notRun):
+		out.Code, out.Outcome, out.Coverage = CodeRefused, wire.NotRun, nil
+		if notRun.Reason == wire.ReasonBadRequest {
+			out.Code = CodeBadRequest
+		}
+	case errors.As(err, &below):
+		out.Code = CodeBelowCoverage
+	default:
+		out.Code = CodeUnknownOutcome
+	}
+	return errors.WithStack(out)
+}
+
+func coverageOf(c scatter.Coverage) Coverage {
+	out := Coverage{Fraction: c.Fraction(), Requested: c.Requested, Covered: c.Covered}
+	for _, i := range c.Included {
+		out.Included = append(out.Included, Included(i))
+	}
+	for _, m := range c.Missing {
+		out.Missing = append(out.Missing, MissingRange(m))
+	}
+	return out
+}
+
+// AdaptiveAdmission is the Admission over the admit package.
+type AdaptiveAdmission struct{ Admission *admit.Admission }
+
+// Admit implements Admission.
+func (a AdaptiveAdmission) Admit(service *release.Service, search *release.Search) (func(Feedback), error) {
+	done, err := a.Admission.Acquire(service.Name)
+	var overloaded *admit.OverloadedError
+	if errors.As(err, &overloaded) {
+		return nil, errors.WithStack(&OverloadedError{Service: service.Name, RetryAfter: overloaded.RetryAfter})
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "admission")
+	}
+	return func(f Feedback) {
+		done(admit.Feedback{
+			Wait: f.Seen.Wait, Refused: f.Seen.Refused, Latency: f.Latency, Goal: search.LatencyGoal.D(),
+		})
+	}, nil
+}
--- a/internal/front/fakes_test.go
+++ b/internal/front/fakes_test.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
-	"testing"
 	"time"
 
 	"github.com/apex/log"
@@ -48,7 +48,9 @@
 	return &front.Answer{
 		ConfigVersion: s.Config.Version, Snapshot: 42,
 		Coverage: front.Coverage{Fraction: 1, Requested: s.Ledgers.Len(), Covered: s.Ledgers.Len()},
-		Rows:     []wire.Row{{Ledger: 7, Key: "gang-7", Value: []byte("text")}},
+		Rows: []wire.Row{
+			{Ledger: 7, Key: "gang-7", Value: []byte("text")}, {Ledger: 8, Value: []byte{0xff}},
+		},
 	}, nil
 }
 
@@ -128,14 +130,13 @@
 var hostA = member.Host{Name: "badin-1", Addr: "127.0.0.1:7001", DataCentre: "badin", Incarnation: 11}
 
 // newFront returns a server of host A with its fakes and its log.
-func newFront(t *testing.T, change ...func(*front.Options)) (*front.Server, *fakes, *memory.Handler) {
-	t.Helper()
-	return newFrontOf(t, hostA, change...)
+func newFront(change func(*fakes)) (*front.Server, *fakes, *memory.Handler) {
+	return newFrontOf(hostA, change)
 }
 
-func newFrontOf(t *testing.T, self member.Host, change ...func(*front.Options)) (*front.Server, *fakes, *memory.Handler) {
-	t.Helper()
+func newFrontOf(self member.Host, change func(*fakes), options ...func(*front.Options)) (*front.Server, *fakes, *memory.Handler) {
 	f := &fakes{config: testConfig(), view: &member.View{Self: self, Hosts: []member.Host{self}}}
+	change(f)
 	tickets, err := once.New(once.Options{
 		DataCentre: self.DataCentre, Addr: self.Addr, Incarnation: self.Incarnation, TicketsKept: 1 << 12,
 	})
@@ -147,7 +148,7 @@
 		Log:     &log.Logger{Handler: lines, Level: log.DebugLevel},
 		Metrics: tally.NoopScope,
 	}
-	for _, c := range change {
+	for _, c := range options {
 		c(&o)
 	}
 	s, err := front.New(o)
@@ -178,9 +179,23 @@
 }
 
 func callContext(ctx context.Context, s *front.Server, method, path, body string) reply {
-	req := httptest.NewRequest(method, path, strings.NewReader(body)).WithContext(ctx)
+	return serve(s, httptest.NewRequest(method, path, strings.NewReader(body)).WithContext(ctx))
+}
+
+// callSlowly sends the body after a delay.
+func callSlowly(s *front.Server, path, body string, delay time.Duration) reply {
+	r, w := io.Pipe()
+	go func() {
+		time.Sleep(delay)
+		_, _ = io.WriteString(w, body)
+		_ = w.Close()
+	}()
+	return serve(s, httptest.NewRequest(http.MethodPost, path, r))
+}
+
+func serve(s *front.Server, request *http.Request) reply {
 	w := httptest.NewRecorder()
-	s.Handler().ServeHTTP(w, req)
+	s.Handler().ServeHTTP(w, request)
 	r := reply{Status: w.Code, Header: w.Header(), Text: w.Body.String()}
 	_ = json.Unmarshal(w.Body.Bytes(), &r)
 	return r
--- /dev/null
+++ b/internal/front/operator_test.go
@@ -0,0 +1,115 @@
+package front_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/front"
+)
+
+// An operator must learn whether a note took effect, and which note won.
+func TestNoteErrorsKeepTheirMeaning(t *testing.T) {
+	for _, c := range []struct {
+		err    error
+		status int
+		parts  []string
+	}{
+		{
+			&front.BadNoteError{Problems: []front.Problem{{File: "a.jsonc", Line: 3, Key: "base", Message: "m"}}}, 400,
+			[]string{`"error":"bad_note"`, `"problems":[{"file":"a.jsonc","line":3,"key":"base","message":"m"}]`},
+		},
+		{
+			&front.ConflictError{WinningNote: "n-6", Version: 3}, 409,
+			[]string{`"error":"conflict"`, `"winning_note":"n-6"`, `"version":3`},
+		},
+		{&front.StoreError{Err: errors.New("down")}, 503, []string{`"store_unavailable"`, `"outcome":"not_applied"`}},
+		{&front.StoreError{Err: errors.New("down"), Unknown: true}, 503, []string{`"outcome":"unknown"`}},
+		{errors.New("x"), 500, []string{`"outcome":"unknown"`}},
+	} {
+		RegisterTestingT(t)
+		s, f, _ := newFront(nothing)
+		f.apply = func(bool) (*front.Applied, error) { return nil, c.err }
+		r := call(s, "POST", "/v1/operator/notes", `{}`)
+		Expect(r.Status).To(Equal(c.status), r.Text)
+		for _, part := range c.parts {
+			Expect(r.Text).To(ContainSubstring(part))
+		}
+	}
+}
+
+func TestOperatorCalls(t *testing.T) {
+	RegisterTestingT(t)
+	s, f, _ := newFront(nothing)
+	for _, c := range []struct{ method, path, want string }{
+		{"POST", "/v1/operator/notes", `{"applied":true,"version":4,"note":"n-7","already":false}`},
+		{"POST", "/v1/operator/notes?dry_run=true", `{"applied":false,"version":4,"note":"n-7","already":false}`},
+		{"GET", "/v1/operator/config", `"version":3`},
+		{"GET", "/v1/operator/history", `{"version":4,"notes":[{"id":"n-7","version":4,"author":"","summary":""}]}`},
+		{"GET", "/v1/operator/hosts", `{"self":"badin-1","hosts":[{"name":"badin-1","addr":"127.0.0.1:7001","http_addr":"","data_centre":"badin","state":"live","config_version":0,"incarnation":11}]}`},
+		{"GET", "/v1/operator/replicas?service=x", `{"replicas":[{"replica":"10.0.0.1:1","service":"x","shard":0,"state":"ready"`},
+		{"GET", "/v1/operator/burn", `{"recorded":0}`},
+		{"GET", "/ready", `"ready":true`},
+		{"GET", "/live", `true`},
+	} {
+		r := call(s, c.method, c.path, `{}`)
+		Expect(r.Status).To(Equal(200), c.path)
+		Expect(r.Text).To(ContainSubstring(c.want))
+	}
+	for path, status := range map[string]int{"/v1/operator/notes?dry_run=maybe": 400, "/v1/other": 404, "/ready": 405} {
+		r := call(s, "POST", path, `{}`)
+		Expect(r.Status).To(Equal(status), path)
+		Expect(r.Error).NotTo(BeEmpty(), path)
+	}
+	f.config = nil
+	Expect(call(s, "GET", "/v1/operator/config", "").Error).To(Equal("no_configuration"))
+	Expect(call(s, "GET", "/ready", "").Status).To(Equal(503))
+	Expect(call(s, "POST", "/v1/tickets", `{"count": 1}`).Error).To(Equal("no_configuration"))
+}
+
+// The number of tickets in a call is bounded, and each is a different one.
+func TestTicketsAreIssuedInBulk(t *testing.T) {
+	RegisterTestingT(t)
+	s, _, _ := newFront(nothing)
+	r := call(s, "POST", "/v1/tickets", `{"count": 1000}`)
+	Expect(r.Text).To(ContainSubstring(`"expires":"10m0s"`))
+	distinct := map[string]bool{}
+	for _, t := range r.Tickets {
+		distinct[t] = true
+	}
+	Expect(distinct).To(HaveLen(1000))
+	for _, body := range []string{``, `{}`, `{"count": 0}`, `{"count": 1001}`, `{"count": -1}`, `{"count": 1.5}`, `{"n": 1}`} {
+		Expect(call(s, "POST", "/v1/tickets", body).Error).To(Equal("bad_request"), body)
+	}
+	for range 3 {
+		call(s, "POST", "/v1/tickets", `{"count": 1000}`)
+	}
+	full := call(s, "POST", "/v1/tickets", `{"count": 1000}`)
+	Expect([]any{full.Status, full.Header.Get("Retry-After")}).To(Equal([]any{429, "1"}))
+}
+
+// Requests must appear in the metrics by outcome.
+func TestMetricsAreText(t *testing.T) {
+	RegisterTestingT(t)
+	text := front.NewTextMetrics()
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{Reporter: text}, 0)
+	s, _, _ := newFrontOf(hostA, nothing, func(o *front.Options) { o.Metrics, o.MetricsText = scope, text })
+	call(s, "POST", findPath, ``)
+	call(s, "POST", bookPath, ``)
+	scope.Timer("wait").Record(1500 * time.Millisecond)
+	Expect(closer.Close()).To(Succeed()) // reports
+	r := call(s, "GET", "/metrics", "")
+	Expect(r.Header.Get("Content-Type")).To(HavePrefix("text/plain"))
+	lines := strings.Split(r.Text, "\n")
+	Expect(lines).To(ContainElements(
+		"front.requests{error=none,outcome=answered} 1",
+		"front.requests{error=ticket_required,outcome=not_run} 1",
+		"front.open_requests 0",
+		"wait_seconds 1.5",
+	))
+	Expect(r.Text).To(ContainSubstring("front.request_latency{le="))
+}
--- a/internal/front/search.go
+++ b/internal/front/search.go
@@ -159,21 +159,23 @@
 	return out, nil
 }
 
-// requested returns the ledgers that a search asks for. *BodyError names the
-// first one that the service does not have.
+// requested returns the ledgers that a search asks for, nil for all of the
+// service. *BodyError names the first one that the service does not have.
 func requested(service *release.Service, body *searchBody) (wire.RangeSet, error) {
-	var all wire.RangeSet
-	for _, shard := range service.Shards {
-		all = append(all, shard.Range)
-	}
-	all = union(all)
-	asked := all
+	var asked wire.RangeSet
 	switch {
 	case body.Range != nil:
 		asked = wire.RangeSet{wire.KeyRange(*body.Range)}
 	case len(body.Ledgers) > 0:
 		asked = ledgerSet(body.Ledgers)
+	default:
+		return nil, nil
 	}
+	all := make(wire.RangeSet, 0, len(service.Shards))
+	for _, shard := range service.Shards {
+		all = append(all, shard.Range)
+	}
+	all = union(all)
 	for _, r := range asked {
 		if outside := all.Subtract(r); len(outside) > 0 {
 			return nil, bodyError("ledgers %s are not in service %q", outside[0], service.Name)
--- /dev/null
+++ b/internal/front/server_test.go
@@ -0,0 +1,165 @@
+package front_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log/handlers/memory"
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/front"
+	"github.com/arbutusgauge/arbutusgauge/internal/peer/peerpb"
+)
+
+// listening is a server on a port of this machine.
+type listening struct {
+	*front.Server
+	fakes *fakes
+	lines *memory.Handler
+	addr  string
+	ended chan error
+	stop  context.CancelFunc
+}
+
+func listen(t *testing.T, options ...func(*front.Options)) *listening {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	options = append([]func(*front.Options){func(o *front.Options) {
+		o.Listener, o.DrainWait, o.StopTimeout = l, 200*time.Millisecond, 5*time.Second
+	}}, options...)
+	out := &listening{addr: l.Addr().String(), ended: make(chan error, 1)}
+	out.Server, out.fakes, out.lines = newFrontOf(hostA, nothing, options...)
+	ctx, cancel := context.WithCancel(context.Background())
+	out.stop = cancel
+	go func() { out.ended <- out.Run(ctx) }()
+	t.Cleanup(cancel)
+	return out
+}
+
+// get makes one call on a connection of its own; status 0 means that no
+// answer came.
+func (l *listening) do(method, path, body string) (status int, closed bool) {
+	request, err := http.NewRequest(method, "http://"+l.addr+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return 0, true
+	}
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode, response.Close
+}
+
+// A planned stop must fail readiness first, go on serving while the load
+// balancer lags, and cut off no request, forwarded ones included.
+func TestStopCutsOffNoRequest(t *testing.T) {
+	RegisterTestingT(t)
+	l := listen(t)
+	release := make(chan struct{})
+	l.fakes.run = func(context.Context, front.Search) (*front.Answer, error) {
+		<-release
+		return &front.Answer{}, nil
+	}
+	results := make(chan int, 2)
+	go func() { status, _ := l.do("POST", findPath, ``); results <- status }()
+	go func() {
+		ticket := issue(l.Server)
+		out, _ := l.HandleTicketed(context.Background(), &peerpb.TicketedRequest{
+			Ticket: ticket, Body: []byte(booking(ticket)), Service: "desk", Search: "book", TimeLeftUs: 5e6,
+		})
+		results <- int(out.Status)
+	}()
+	Eventually(l.Open).Should(BeEquivalentTo(2))
+	status, closed := l.do("GET", "/ready", "")
+	Expect([]any{status, closed}).To(Equal([]any{200, false}))
+	l.stop()
+	Eventually(l.Ready).Should(BeFalse())
+	status, closed = l.do("GET", "/ready", "")
+	Expect([]any{status, closed}).To(Equal([]any{503, true}))
+	status, _ = l.do("POST", "/v1/tickets", `{"count": 1}`)
+	Expect(status).To(Equal(200))
+	Eventually(func() int { status, _ := l.do("GET", "/live", ""); return status }).Should(BeZero())
+	Consistently(l.ended, 50*time.Millisecond).ShouldNot(Receive())
+	refused := call(l.Server, "POST", findPath, ``)
+	Expect([]any{refused.Status, refused.Error, refused.Outcome}).To(Equal([]any{503, "stopping", "not_run"}))
+	close(release)
+	Expect([]int{<-results, <-results}).To(Equal([]int{200, 200}))
+	Eventually(l.ended).Should(Receive(BeNil()))
+}
+
+// Requests that a stop cuts off must be counted.
+func TestStopCountsRequestsThatItCutsOff(t *testing.T) {
+	RegisterTestingT(t)
+	scope := tally.NewTestScope("", nil)
+	l := listen(t, func(o *front.Options) { o.StopTimeout, o.Metrics = 100*time.Millisecond, scope })
+	release := make(chan struct{})
+	l.fakes.run = func(context.Context, front.Search) (*front.Answer, error) {
+		<-release
+		return &front.Answer{}, nil
+	}
+	done := make(chan struct{})
+	go func() { defer close(done); l.do("POST", findPath, ``) }()
+	Eventually(l.Open).Should(BeEquivalentTo(1))
+	l.stop()
+	var err error
+	Eventually(l.ended).Should(Receive(&err))
+	var cut *front.CutOffError
+	Expect(errors.As(err, &cut)).To(BeTrue())
+	Expect(cut.Requests).To(BeEquivalentTo(1))
+	Expect(scope.Snapshot().Counters()["front.requests_cut_off+"].Value()).To(BeEquivalentTo(1))
+	close(release)
+	<-done
+	Eventually(l.Open).Should(BeZero())
+}
+
+// The time that a request spends before it is read, on a new connection or a
+// used one, must count towards its deadline.
+func TestDeadlineCountsFromArrival(t *testing.T) {
+	RegisterTestingT(t)
+	l := listen(t)
+	c, err := net.Dial("tcp", l.addr)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = c.Close() }()
+	answers := bufio.NewReader(c)
+	for i := range 2 {
+		time.Sleep(300 * time.Millisecond) // without a request, which must not count
+		began := time.Now()
+		_, err = c.Write([]byte("POST " + findPath + " HTTP/1.1\r\nHost: x\r\n"))
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(200 * time.Millisecond)
+		_, err = c.Write([]byte("Content-Length: 0\r\n\r\n"))
+		Expect(err).NotTo(HaveOccurred())
+		response, err := http.ReadResponse(answers, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(200))
+		_ = response.Body.Close()
+		deadline := l.fakes.searches[i].Deadline
+		Expect(deadline).To(BeTemporally("~", began.Add(500*time.Millisecond), 100*time.Millisecond))
+	}
+}
+
+// A wedged listener must end Run with an error instead of a silent host.
+func TestRunReportsListenerFaults(t *testing.T) {
+	RegisterTestingT(t)
+	l := listen(t, func(o *front.Options) { _ = o.Listener.Close() })
+	var err error
+	Eventually(l.ended).Should(Receive(&err))
+	Expect(err).To(MatchError(ContainSubstring("listener")))
+}
+
+func TestOptionsThatAreMissingAreNamed(t *testing.T) {
+	RegisterTestingT(t)
+	_, err := front.New(front.Options{Incarnation: 1})
+	var bad *front.OptionError
+	Expect(errors.As(err, &bad)).To(BeTrue())
+	Expect(bad.Option).To(Equal("Engine"))
+}
--- a/internal/front/types.go
+++ b/internal/front/types.go
@@ -18,7 +18,7 @@
 	Config        *release.Config
 	Service       *release.Service
 	Search        *release.Search
-	Ledgers       wire.RangeSet // requested ledgers
+	Ledgers       wire.RangeSet // requested ledgers; nil: all of the service
 	Deadline      time.Time     // with the monotonic clock
 	LeastCoverage float64       // fraction 0 to 1
 	Payload       []byte
