Wire the entry host and prove the path with real processes

Cause: the modules were only tested apart. Change: internal/entry and cmd/entryd wire the modules with a run group whose stop order is readiness, own requests, peers' requests, sub-requests, sockets; internal/e2e runs nine entry hosts, the platform and 108 replicas as processes.

--- /dev/null
+++ b/internal/e2e/config_test.go
@@ -0,0 +1,102 @@
+package e2e
+
+import (
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/jwcc"
+	"github.com/arbutusgauge/arbutusgauge/internal/release"
+)
+
+// goalNote changes one search and nothing else.
+func goalNote(id string, base uint64, goal time.Duration) *release.Note {
+	search := fleet.Note.Searches.Added[0]
+	search.LatencyGoal = jwcc.Duration(goal)
+	return &release.Note{
+		ID: id, Base: base, Author: "e2e", Searches: release.SearchChanges{Changed: []release.Search{search}},
+	}
+}
+
+func inForceEverywhere(version uint64) {
+	GinkgoHelper()
+	Eventually(func() []string {
+		var behind []string
+		for _, host := range fleet.HostNames() {
+			if versionAt(host) != version {
+				behind = append(behind, host)
+			}
+		}
+		return behind
+	}, forceLimit, "50ms").Should(BeEmpty())
+}
+
+var _ = Describe("configuration", Ordered, func() {
+	It("has one winner when operators race, and is in force everywhere within 4 s", func() {
+		base := versionAt("badin-1")
+		var wg sync.WaitGroup
+		replies := make([]noteReply, 3)
+		for i, host := range []string{"badin-1", "thatta-1", "tando-1"} {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				replies[i] = applyNoteAt(fleet.HTTPAddr(host), goalNote("race-"+host, base, time.Duration(50+i)*time.Millisecond))
+			})
+		}
+		wg.Wait()
+		won := 0
+		for _, reply := range replies {
+			if reply.Applied {
+				won++
+				continue
+			}
+			Expect(reply.Code).To(Equal("conflict"), "%+v", reply)
+			Expect(reply.WinningNote).To(HavePrefix("race-"))
+		}
+		Expect(won).To(Equal(1))
+		inForceEverywhere(base + 1)
+	})
+
+	It("is applied once when the store's reply is lost after the write took effect", func() {
+		base := versionAt("badin-1")
+		setPlatform(map[string]any{"lose_replies": 4})
+		reply := applyNote(goalNote("lost-reply", base, 61*time.Millisecond))
+		setPlatform(map[string]any{})
+		Expect(reply.Applied).To(BeTrue(), "%+v", reply)
+		Expect(reply.Version).To(Equal(base + 1))
+		inForceEverywhere(base + 1)
+	})
+
+	It("reaches a host that was paused while it came into force", func() {
+		base := versionAt("badin-1")
+		Expect(fleet.Hosts["tando-2"].Signal(syscall.SIGSTOP)).To(Succeed())
+		time.Sleep(500 * time.Millisecond)
+		Expect(applyNote(goalNote("while-paused", base, 62*time.Millisecond)).Applied).To(BeTrue())
+		time.Sleep(3 * time.Second)
+		Expect(fleet.Hosts["tando-2"].Signal(syscall.SIGCONT)).To(Succeed())
+		inForceEverywhere(base + 1)
+	})
+
+	It("is served by peers to a host that starts while the platform is down, and searches go on", func() {
+		base := versionAt("badin-1")
+		setPlatform(map[string]any{"down": true})
+		reply := applyNote(goalNote("store-down", base, 63*time.Millisecond))
+		Expect(reply.Code).To(Equal("store_unavailable"), "%+v", reply)
+		fleet.Hosts["tando-3"].Kill()
+		Expect(fleet.StartHost("tando-3")).To(Succeed())
+		Expect(fleet.WaitReady(forceLimit, "tando-3")).To(Succeed())
+		Expect(versionAt("tando-3")).To(Equal(base))
+		Expect(rota(fleet.HTTPAddr("tando-3")).Answered()).To(BeTrue())
+		setPlatform(map[string]any{})
+	})
+
+	It("never reverts when the platform comes back without its content", func() {
+		version := versionAt("badin-1")
+		fleet.Platform.Kill()
+		Expect(fleet.RestartPlatform()).To(Succeed())
+		Consistently(func() uint64 { return versionAt("badin-1") }, "2s", "100ms").Should(BeNumerically(">=", version))
+		Expect(rota(fleet.HTTPAddr("badin-1")).Answered()).To(BeTrue())
+	})
+})
--- /dev/null
+++ b/internal/e2e/serving_test.go
@@ -0,0 +1,113 @@
+package e2e
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/procs"
+)
+
+var _ = Describe("serving", Ordered, func() {
+	It("answers again without operator action after a host is killed and restarted", func() {
+		fleet.Hosts["badin-2"].Kill()
+		for range 20 {
+			reply := rota(fleet.HTTPAddr("badin-1"))
+			Expect(reply.Answered()).To(BeTrue(), "%+v", reply)
+			Expect(reply.Coverage.Fraction).To(Equal(1.0))
+		}
+		Expect(fleet.StartHost("badin-2")).To(Succeed())
+		Expect(fleet.WaitReady(forceLimit, "badin-2")).To(Succeed())
+		reply := rota(fleet.HTTPAddr("badin-2"))
+		Expect(reply.Answered()).To(BeTrue(), "%+v", reply)
+		Expect(reply.Rows).To(HaveLen(200))
+	})
+
+	It("keeps whole coverage while the open connections of all backend servers of a data centre are silent", func() {
+		Expect(rota(fleet.HTTPAddr("thatta-1")).Answered()).To(BeTrue())
+		_, err := caller.Post(context.Background(), fleet.BackendAdmin("badin"), "/v1/replicas/all/silence", nil, nil)
+		Expect(err).NotTo(HaveOccurred())
+		for range 10 {
+			reply := rota(fleet.HTTPAddr("badin-1"))
+			Expect(reply.Answered()).To(BeTrue(), "%+v", reply)
+			Expect(reply.Coverage.Fraction).To(Equal(1.0))
+		}
+	})
+
+	It("goes on while a host is paused, and the host serves after it wakes", func() {
+		paused := fleet.Hosts["thatta-2"]
+		Expect(paused.Signal(syscall.SIGSTOP)).To(Succeed())
+		end := time.Now().Add(3 * time.Second)
+		for time.Now().Before(end) {
+			reply := rota(fleet.HTTPAddr("thatta-1"))
+			Expect(reply.Answered()).To(BeTrue(), "%+v", reply)
+			Expect(reply.Coverage.Fraction).To(Equal(1.0))
+		}
+		Expect(paused.Signal(syscall.SIGCONT)).To(Succeed())
+		Eventually(func() bool { return rota(fleet.HTTPAddr("thatta-2")).Answered() }, forceLimit, "100ms").Should(BeTrue())
+	})
+
+	It("gives a leaving backend server no new work after 3 seconds, although its status says that it is well", func() {
+		const replica = "127.0.0.1:30000" // shard 0 of mill-dispatch in badin
+		lie := map[string]any{"status_lie": map[string]any{"state": "ready", "oldest": 1, "newest": 1}}
+		setFaults("badin", replica, lie)
+		_, err := caller.Post(context.Background(), fleet.PlatformAddr(), "/admin/hosts", map[string]any{
+			"addr": replica, "role": "backend", "data_centre": "badin", "state": "leaving",
+		}, nil)
+		Expect(err).NotTo(HaveOccurred())
+		searches := startLoad(4, 5*time.Millisecond)
+		time.Sleep(3 * time.Second)
+		before := executions("badin", replica)
+		time.Sleep(time.Second)
+		after := executions("badin", replica)
+		for _, reply := range searches.stop() {
+			Expect(reply.Answered()).To(BeTrue(), "%+v", reply)
+			Expect(reply.Coverage.Fraction).To(Equal(1.0))
+		}
+		Expect(after).To(Equal(before))
+		setFaults("badin", replica, map[string]any{})
+		_, err = caller.Post(context.Background(), fleet.PlatformAddr(), "/admin/hosts", map[string]any{
+			"addr": replica, "role": "backend", "data_centre": "badin", "state": "live",
+		}, nil)
+		Expect(err).NotTo(HaveOccurred())
+	})
+})
+
+// executions returns how many sub-requests a replica ever ran.
+func executions(dataCentre, replica string) uint64 {
+	var out struct {
+		Total uint64 `json:"total"`
+	}
+	path := "/v1/replicas/" + replica + "/executions?limit=1"
+	Expect(caller.Get(context.Background(), fleet.BackendAdmin(dataCentre), path, &out)).To(Succeed())
+	return out.Total
+}
+
+var _ = Describe("a planned stop", func() {
+	// Guards against requests that are cut off while hosts are replaced one
+	// after the other behind a balancer that notices late.
+	It("of every host in turn, under load, cuts off no request", func() {
+		searches := startLoad(12, 10*time.Millisecond)
+		for _, number := range []string{"1", "2", "3"} {
+			hosts := []string{"badin-" + number, "thatta-" + number, "tando-" + number}
+			for _, host := range hosts {
+				Expect(fleet.Hosts[host].Signal(syscall.SIGTERM)).To(Succeed())
+			}
+			for _, host := range hosts {
+				Expect(fleet.Hosts[host].Stop(procs.StopLimit)).To(Succeed())
+				Expect(fleet.StartHost(host)).To(Succeed())
+			}
+			Expect(fleet.WaitReady(startLimit, hosts...)).To(Succeed())
+			time.Sleep(balancerLag + 200*time.Millisecond)
+		}
+		replies := searches.stop()
+		Expect(len(replies)).To(BeNumerically(">", 1000))
+		for _, reply := range replies {
+			Expect(reply.Err).NotTo(HaveOccurred())
+			Expect(reply.Answered()).To(BeTrue(), "%+v", reply)
+		}
+	})
+})
--- /dev/null
+++ b/internal/entry/host.go
@@ -0,0 +1,354 @@
+// Package entry puts the modules of an entry host together and runs them.
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/admit"
+	"github.com/arbutusgauge/arbutusgauge/internal/backend/httpjson"
+	"github.com/arbutusgauge/arbutusgauge/internal/burn"
+	"github.com/arbutusgauge/arbutusgauge/internal/front"
+	"github.com/arbutusgauge/arbutusgauge/internal/member"
+	"github.com/arbutusgauge/arbutusgauge/internal/once"
+	"github.com/arbutusgauge/arbutusgauge/internal/owner"
+	"github.com/arbutusgauge/arbutusgauge/internal/peer"
+	"github.com/arbutusgauge/arbutusgauge/internal/platform"
+	"github.com/arbutusgauge/arbutusgauge/internal/platform/httpkv"
+	"github.com/arbutusgauge/arbutusgauge/internal/release"
+	"github.com/arbutusgauge/arbutusgauge/internal/rollout"
+	"github.com/arbutusgauge/arbutusgauge/internal/route"
+	"github.com/arbutusgauge/arbutusgauge/internal/scatter"
+	"github.com/arbutusgauge/arbutusgauge/internal/settings"
+	"github.com/arbutusgauge/arbutusgauge/internal/wire"
+)
+
+const (
+	// metricsInterval is how often metrics are copied into the text form.
+	metricsInterval = time.Second
+	// stopTimeout bounds the wait for running requests after drain_wait.
+	stopTimeout = 30 * time.Second
+)
+
+// Host is the process of one entry host.
+type Host struct {
+	settings    *settings.Entry
+	network     Network
+	log         log.Interface
+	incarnation uint64
+	metrics     *front.TextMetrics
+	scope       tally.Scope
+	closeScope  func() error
+
+	platform platform.Service
+	client   *peer.Client
+	members  *member.Agent
+	rollout  *rollout.Agent
+	router   *route.Router
+	owner    *owner.Owner
+	engine   *scatter.Engine
+	admit    *admit.Admission
+	tickets  *once.Registry
+	burn     *burn.Recorder
+	front    *front.Server
+	server   *peer.Server
+
+	httpListener net.Listener
+	peerListener net.Listener
+}
+
+// Network is how a host reaches others. Zero fields mean plain TCP; tests put
+// networks with faults in their place.
+type Network struct {
+	DialPeer func(ctx context.Context, addr string) (net.Conn, error)
+	Platform http.RoundTripper
+}
+
+// New opens the listeners and puts the modules together.
+func New(s *settings.Entry, logger log.Interface, network Network) (*Host, error) {
+	h := &Host{
+		settings:    s,
+		network:     network,
+		log:         logger.WithField("host", s.Host),
+		incarnation: uint64(time.Now().UnixNano()),
+		metrics:     front.NewTextMetrics(),
+	}
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Reporter:               h.metrics,
+		Tags:                   map[string]string{"host": s.Host, "data_centre": s.DataCentre},
+		OmitCardinalityMetrics: true,
+	}, metricsInterval)
+	h.scope, h.closeScope = scope, closer.Close
+	for _, step := range []func() error{
+		h.listen, h.newPlatform, h.newClient, h.newMembers, h.newRollout, h.newOwner, h.newEngine, h.newFront,
+	} {
+		if err := step(); err != nil {
+			h.close()
+			return nil, err
+		}
+	}
+	return h, nil
+}
+
+func (h *Host) listen() error {
+	var err error
+	if h.httpListener, err = net.Listen("tcp", h.settings.HTTP.Listen); err != nil {
+		return errors.Wrap(err, "http.listen")
+	}
+	if h.peerListener, err = net.Listen("tcp", h.settings.Peer.Listen); err != nil {
+		return errors.Wrap(err, "peer.listen")
+	}
+	return nil
+}
+
+func (h *Host) newPlatform() error {
+	var services []platform.Service
+	for _, url := range h.settings.Platform.URLs {
+		client, err := httpkv.New(httpkv.Options{
+			URL:         url,
+			CallTimeout: h.settings.Platform.Timeout.D(),
+			Transport:   h.network.Platform,
+		})
+		if err != nil {
+			return err
+		}
+		services = append(services, client)
+	}
+	h.platform = platform.NewFailover(services)
+	return nil
+}
+
+func (h *Host) newClient() error {
+	var err error
+	h.client, err = peer.NewClient(peer.Options{
+		Self:         h.settings.Host,
+		Dial:         h.network.DialPeer,
+		OnDialFailed: func(addr string) { h.members.Suspect(addr) },
+		Scope:        h.scope.SubScope("peer"),
+		Logger:       h.log,
+	})
+	return err
+}
+
+func (h *Host) newMembers() error {
+	var err error
+	h.members, err = member.New(member.Options{
+		Self: member.Host{
+			Name:        h.settings.Host,
+			Addr:        h.settings.Peer.Advertise,
+			HTTPAddr:    h.settings.HTTP.Advertise,
+			DataCentre:  h.settings.DataCentre,
+			Incarnation: h.incarnation,
+		},
+		Seeds:    h.settings.Seeds,
+		Gossiper: h.client,
+		Scope:    h.scope.SubScope("member"),
+		Log:      h.log,
+	})
+	return err
+}
+
+func (h *Host) newRollout() error {
+	var err error
+	h.rollout, err = rollout.New(rollout.Options{
+		Store:   h.platform,
+		Fetcher: h.client,
+		Members: h.members,
+
+		Check:     release.Check,
+		ApplyNote: release.Apply,
+		Scope:     h.scope.SubScope("rollout"),
+		Log:       h.log,
+	})
+	if err != nil {
+		return err
+	}
+	h.members.OnConfig(h.rollout.Announced)
+	h.rollout.OnAdopt(h.adopt)
+	return nil
+}
+
+// adopt brings a configuration into force in the modules that keep something
+// for it, and tells the peers.
+func (h *Host) adopt(cfg *release.Config) {
+	h.owner.SetConfig(cfg)
+	h.members.SetConfigVersion(cfg.Version)
+	h.members.Announce(cfg.Version)
+}
+
+func (h *Host) newOwner() error {
+	dialer, err := httpjson.NewDialer(httpjson.Options{})
+	if err != nil {
+		return err
+	}
+	h.router = route.New(route.Options{
+		Config:  h.rollout.Current,
+		Members: h.members,
+		Local:   senderFunc{h},
+		Peers:   h.client,
+		Scope:   h.scope.SubScope("route"),
+	})
+	h.owner, err = owner.New(owner.Options{
+		DataCentre: h.settings.DataCentre,
+		Dialer:     dialer,
+		Ownership:  h.router,
+		LeavingServer: func(replica wire.ReplicaID) bool {
+			return h.members.View().LeavingServers[replica]
+		},
+		Scope:  h.scope.SubScope("owner"),
+		Logger: h.log,
+	})
+	return err
+}
+
+// senderFunc lets router and owner, which need each other, be built in turn.
+type senderFunc struct{ host *Host }
+
+// Send implements wire.Sender.
+func (s senderFunc) Send(subs []wire.Sub, done func([]wire.Reply)) { s.host.owner.Send(subs, done) }
+
+// Cancel implements wire.Sender.
+func (s senderFunc) Cancel(ids []wire.SubID) { s.host.owner.Cancel(ids) }
+
+func (h *Host) newEngine() error {
+	delays := map[string]time.Duration{}
+	for name, delay := range h.settings.Delays {
+		delays[name] = delay.D()
+	}
+	var err error
+	h.engine, err = scatter.New(scatter.Options{
+		Sender:      h.router,
+		Status:      statusSource{self: h.settings.Peer.Advertise, router: h.router, owner: h.owner, client: h.client},
+		Config:      h.rollout.Current,
+		DataCentre:  h.settings.DataCentre,
+		Delays:      delays,
+		Incarnation: h.incarnation,
+		Scope:       h.scope.SubScope("scatter"),
+		Logger:      h.log,
+	})
+	if err != nil {
+		return err
+	}
+	h.admit, err = admit.New(admit.Options{Scope: h.scope.SubScope("admit")})
+	return err
+}
+
+func (h *Host) newFront() error {
+	var err error
+	h.tickets, err = once.New(once.Options{
+		DataCentre:  h.settings.DataCentre,
+		Addr:        h.settings.Peer.Advertise,
+		Incarnation: h.incarnation,
+	})
+	if err != nil {
+		return err
+	}
+	h.burn, err = burn.New(burn.Options{Host: h.settings.Host, DataCentre: h.settings.DataCentre})
+	if err != nil {
+		return err
+	}
+	h.front, err = front.New(front.Options{
+		Listener:    h.httpListener,
+		Incarnation: h.incarnation,
+		Engine:      front.ScatterEngine{Engine: h.engine},
+		Admission:   front.AdaptiveAdmission{Admission: h.admit},
+		Configs:     h.rollout,
+		Operator:    notes{h.rollout},
+		Members:     h.members,
+		Replicas:    ownedReplicas{h.owner},
+		Burn:        burnRecorder{h.burn},
+		Forwarder:   forwarder{h.client},
+		Tickets:     h.tickets,
+		Log:         h.log,
+		Metrics:     h.scope.SubScope("front"),
+		MetricsText: h.metrics,
+		DrainWait:   h.settings.DrainWait.D(),
+		StopTimeout: stopTimeout,
+		BodyLimit:   h.settings.Limits.RequestBytes,
+		NoteLimit:   h.settings.Limits.NoteBytes,
+		ReadTimeout: h.settings.Limits.HeaderTimeout.D(),
+		IdleTimeout: h.settings.Limits.IdleTimeout.D(),
+	})
+	if err != nil {
+		return err
+	}
+	h.server = peer.NewServer(h.owner, handlers{h}, h.scope.SubScope("peer_server"))
+	return nil
+}
+
+func (h *Host) close() {
+	if h.httpListener != nil {
+		_ = h.httpListener.Close()
+	}
+	if h.peerListener != nil {
+		_ = h.peerListener.Close()
+	}
+	if h.client != nil {
+		h.client.Close()
+	}
+	_ = h.closeScope()
+}
+
+// Run serves until ctx ends, then stops gracefully: it announces that it is
+// leaving, goes on serving for drain_wait, and ends when its own requests and
+// those of its peers are finished.
+func (h *Host) Run(ctx context.Context) error {
+	defer h.close()
+	h.log.WithField("http", h.settings.HTTP.Advertise).WithField("peer", h.settings.Peer.Advertise).
+		WithField("incarnation", h.incarnation).Info("entry host started")
+	var group run.Group
+	h.addWait(&group, ctx)
+	h.addFront(&group)
+	for _, actor := range []func(context.Context) error{
+		func(ctx context.Context) error { return h.server.Serve(ctx, h.peerListener) },
+		h.owner.Run, h.rollout.Run, h.runHostList, h.runLinks, h.client.Run, h.members.Run,
+	} {
+		addActor(&group, actor)
+	}
+	err := group.Run()
+	h.log.Info("entry host stopped")
+	return err
+}
+
+// addWait ends the group when ctx ends.
+func (h *Host) addWait(group *run.Group, ctx context.Context) {
+	stop := make(chan struct{})
+	group.Add(func() error {
+		select {
+		case <-ctx.Done():
+		case <-stop:
+		}
+		return nil
+	}, func(error) { close(stop) })
+}
+
+// addFront adds the HTTP server. Its interrupt runs before those of the other
+// actors and returns when no request is left, so that they serve to the end.
+func (h *Host) addFront(group *run.Group) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error { return h.front.Run(ctx) }, func(error) {
+		h.members.Leave()
+		limit, stop := context.WithTimeout(context.Background(), h.settings.DrainWait.D()+stopTimeout)
+		defer stop()
+		if err := h.front.Stop(limit); err != nil {
+			h.log.WithError(err).Error("stop cut off requests")
+		}
+		h.server.Drain(limit)
+		if err := h.owner.Stop(limit); err != nil {
+			h.log.WithError(err).Error("stop left sub-requests running")
+		}
+		cancel()
+	})
+}
+
+func addActor(group *run.Group, run func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error { return run(ctx) }, func(error) { cancel() })
+}
