Send what sub-requests of a query share once per message

Change: sub-requests travel in groups of one query; the fields of id, range and load are inline in a reply; the reply leaves out the replica, which the sender knows.

--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"time"
 
 	"github.com/arbutusgauge/arbutusgauge/internal/peer/peerpb"
@@ -13,22 +14,23 @@
 	return wire.SubID{Host: id.GetHost(), Seq: id.GetSeq()}
 }
 
-func rangeToPB(r wire.KeyRange) *peerpb.KeyRange { return &peerpb.KeyRange{Lo: r.Lo, Hi: r.Hi} }
-
-func rangeFromPB(r *peerpb.KeyRange) wire.KeyRange {
-	return wire.KeyRange{Lo: r.GetLo(), Hi: r.GetHi()}
+// sameGroup reports whether two sub-requests differ only in what a group states
+// for each of them.
+func sameGroup(a, b *pending) bool {
+	x, y := &a.sub, &b.sub
+	return x.ID.Host == y.ID.Host && x.Query == y.Query && x.Service == y.Service && x.Search == y.Search &&
+		x.Snapshot == y.Snapshot && x.TimeLeft == y.TimeLeft && a.at.Equal(b.at) &&
+		x.Repeatable == y.Repeatable && bytes.Equal(x.Payload, y.Payload)
 }
 
-// subToPB converts a sub-request; left is the time that remains now.
-func subToPB(s *wire.Sub, left time.Duration) *peerpb.Sub {
-	return &peerpb.Sub{
-		Id:         idToPB(s.ID),
+// groupToPB begins a group with what its sub-requests share; left is the time
+// that remains now.
+func groupToPB(s *wire.Sub, left time.Duration) *peerpb.SubGroup {
+	return &peerpb.SubGroup{
+		Host:       s.ID.Host,
 		Query:      s.Query,
 		Service:    s.Service,
 		Search:     s.Search,
-		Shard:      s.Shard,
-		Replica:    string(s.Replica),
-		Range:      rangeToPB(s.Range),
 		Snapshot:   s.Snapshot,
 		TimeLeftUs: uint64(max(left, 0) / time.Microsecond),
 		Repeatable: s.Repeatable,
@@ -36,20 +38,27 @@
 	}
 }
 
-func subFromPB(s *peerpb.Sub) wire.Sub {
-	return wire.Sub{
-		ID:         idFromPB(s.GetId()),
-		Query:      s.GetQuery(),
-		Service:    s.GetService(),
-		Search:     s.GetSearch(),
-		Shard:      s.GetShard(),
-		Replica:    wire.ReplicaID(s.GetReplica()),
-		Range:      rangeFromPB(s.GetRange()),
-		Snapshot:   s.GetSnapshot(),
-		TimeLeft:   time.Duration(s.GetTimeLeftUs()) * time.Microsecond,
-		Repeatable: s.GetRepeatable(),
-		Payload:    s.GetPayload(),
+func subToPB(s *wire.Sub) *peerpb.Sub {
+	return &peerpb.Sub{Seq: s.ID.Seq, Shard: s.Shard, Replica: string(s.Replica), Lo: s.Range.Lo, Hi: s.Range.Hi}
+}
+
+func appendSubs(subs []wire.Sub, g *peerpb.SubGroup) []wire.Sub {
+	for _, s := range g.GetSubs() {
+		subs = append(subs, wire.Sub{
+			ID:         wire.SubID{Host: g.GetHost(), Seq: s.GetSeq()},
+			Query:      g.GetQuery(),
+			Service:    g.GetService(),
+			Search:     g.GetSearch(),
+			Shard:      s.GetShard(),
+			Replica:    wire.ReplicaID(s.GetReplica()),
+			Range:      wire.KeyRange{Lo: s.GetLo(), Hi: s.GetHi()},
+			Snapshot:   g.GetSnapshot(),
+			TimeLeft:   time.Duration(g.GetTimeLeftUs()) * time.Microsecond,
+			Repeatable: g.GetRepeatable(),
+			Payload:    g.GetPayload(),
+		})
 	}
+	return subs
 }
 
 // LoadToPB converts a load report.
@@ -78,15 +87,24 @@
 
 func replyToPB(r *wire.Reply) *peerpb.Reply {
 	out := &peerpb.Reply{
-		Id:         idToPB(r.ID),
-		Replica:    string(r.Replica),
+		Host:       r.ID.Host,
+		Seq:        r.ID.Seq,
 		Outcome:    uint32(r.Outcome),
 		Reason:     string(r.Reason),
 		Snapshot:   r.Snapshot,
-		Range:      rangeToPB(r.Range),
+		Lo:         r.Range.Lo,
+		Hi:         r.Range.Hi,
 		HeldOldest: r.Held.Oldest,
 		HeldNewest: r.Held.Newest,
-		Load:       LoadToPB(r.Load),
+		InFlight:   r.Load.InFlight,
+		Queued:     r.Load.Queued,
+		Slots:      r.Load.Slots,
+		WaitUs:     uint64(max(r.Load.Wait, 0) / time.Microsecond),
+		ServiceUs:  uint64(max(r.Load.Service, 0) / time.Microsecond),
+		State:      uint32(r.Load.State),
+	}
+	if len(r.Rows) > 0 {
+		out.Rows = make([]*peerpb.Row, 0, len(r.Rows))
 	}
 	for _, row := range r.Rows {
 		out.Rows = append(out.Rows, &peerpb.Row{Ledger: row.Ledger, Key: row.Key, Value: row.Value})
@@ -94,16 +112,25 @@
 	return out
 }
 
-func replyFromPB(r *peerpb.Reply) wire.Reply {
+func replyIDFromPB(r *peerpb.Reply) wire.SubID { return wire.SubID{Host: r.GetHost(), Seq: r.GetSeq()} }
+
+func replyFromPB(r *peerpb.Reply, replica wire.ReplicaID) wire.Reply {
 	out := wire.Reply{
-		ID:       idFromPB(r.GetId()),
-		Replica:  wire.ReplicaID(r.GetReplica()),
+		ID:       replyIDFromPB(r),
+		Replica:  replica,
 		Outcome:  outcomeFromPB(r.GetOutcome()),
 		Reason:   wire.Reason(r.GetReason()),
 		Snapshot: r.GetSnapshot(),
-		Range:    rangeFromPB(r.GetRange()),
+		Range:    wire.KeyRange{Lo: r.GetLo(), Hi: r.GetHi()},
 		Held:     wire.Held{Oldest: r.GetHeldOldest(), Newest: r.GetHeldNewest()},
-		Load:     LoadFromPB(r.GetLoad()),
+		Load: wire.Load{
+			InFlight: r.GetInFlight(),
+			Queued:   r.GetQueued(),
+			Slots:    r.GetSlots(),
+			Wait:     time.Duration(r.GetWaitUs()) * time.Microsecond,
+			Service:  time.Duration(r.GetServiceUs()) * time.Microsecond,
+			State:    wire.ReplicaState(r.GetState()),
+		},
 	}
 	if len(r.GetRows()) > 0 {
 		out.Rows = make([]wire.Row, 0, len(r.GetRows()))
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -47,8 +47,8 @@
 		x.mu.Unlock()
 		x.wakeWriter()
 	}
-	if len(frame.GetSubs()) > 0 {
-		x.run(frame.GetSubs())
+	if len(frame.GetGroups()) > 0 {
+		x.run(frame.GetGroups())
 	}
 	if len(frame.GetCancels()) > 0 {
 		ids := make([]wire.SubID, 0, len(frame.GetCancels()))
@@ -59,13 +59,14 @@
 	}
 }
 
-func (x *exchange) run(batch []*peerpb.Sub) {
-	subs := make([]wire.Sub, 0, len(batch))
+func (x *exchange) run(groups []*peerpb.SubGroup) {
+	var subs []wire.Sub
+	for _, group := range groups {
+		subs = appendSubs(subs, group)
+	}
 	x.mu.Lock()
-	for _, s := range batch {
-		sub := subFromPB(s)
-		x.open[sub.ID] = struct{}{}
-		subs = append(subs, sub)
+	for i := range subs {
+		x.open[subs[i].ID] = struct{}{}
 	}
 	x.mu.Unlock()
 	x.server.running.Add(int64(len(subs)))
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -182,7 +182,7 @@
 		frame.Cancels = append(frame.Cancels, idToPB(id))
 	}
 	expired := s.takeUnsentLocked(frame, now)
-	if s.ping == 0 && len(frame.Cancels) == 0 && len(frame.Subs) == 0 {
+	if s.ping == 0 && len(frame.Cancels) == 0 && len(frame.Groups) == 0 {
 		return nil, expired
 	}
 	s.ping = 0
@@ -197,8 +197,10 @@
 	if len(s.sent) == 0 {
 		s.busyFrom = now
 	}
-	n := 0
-	for n < len(s.unsent) && len(frame.Subs) < s.link.opts.MaxBatch {
+	n, taken := 0, 0
+	var last *pending
+	var group *peerpb.SubGroup
+	for n < len(s.unsent) && taken < s.link.opts.MaxBatch {
 		p := s.unsent[n]
 		n++
 		left := p.left(now)
@@ -206,8 +208,14 @@
 			expired = append(expired, p)
 			continue
 		}
+		if last == nil || !sameGroup(last, p) {
+			group = groupToPB(&p.sub, left)
+			frame.Groups = append(frame.Groups, group)
+		}
+		last = p
+		taken++
 		s.sent[p.sub.ID] = p
-		frame.Subs = append(frame.Subs, subToPB(&p.sub, left))
+		group.Subs = append(group.Subs, subToPB(&p.sub))
 	}
 	s.unsent = s.unsent[n:]
 	if len(s.unsent) == 0 {
@@ -239,15 +247,15 @@
 	ended := make([]*pending, 0, len(frame.GetReplies()))
 	replies := make([]wire.Reply, 0, len(frame.GetReplies()))
 	for _, r := range frame.GetReplies() {
-		reply := replyFromPB(r)
-		p, ok := s.sent[reply.ID]
+		id := replyIDFromPB(r)
+		p, ok := s.sent[id]
 		if !ok {
 			s.link.opts.Scope.Counter("replies_dropped").Inc(1)
 			continue
 		}
-		delete(s.sent, reply.ID)
+		delete(s.sent, id)
 		ended = append(ended, p)
-		replies = append(replies, reply)
+		replies = append(replies, replyFromPB(r, p.sub.Replica))
 	}
 	s.mu.Unlock()
 	for i, p := range ended {
