Hedge after the quantile that the budget can pay

Cause: hedges after the p95 of every first try are 5 % extra load, the budget gains 3 %; the burst was spent in normal running and extra load stayed above the goal. Change: the hedge quantile is 1 - 0.8 x gain, at least 0.95: 0.976 at the default gain. The bench reports hedges and retries apart.

--- a/internal/bench/meter.go
+++ b/internal/bench/meter.go
@@ -18,6 +18,8 @@
 	below     int
 	ran       int
 	sent      int
+	hedges    int
+	retries   int
 	requested uint64
 	covered   uint64
 }
@@ -56,6 +58,8 @@
 	}
 	if work.FirstTries > 0 {
 		m.ran++
+		m.hedges += work.Hedges
+		m.retries += work.Retries
 		m.sent += work.FirstTries + work.Hedges + work.Retries
 	}
 	isolated := sim.Fault == FaultCut && h.centre == sim.Deployment.DataCentres[cutCentre]
@@ -101,6 +105,7 @@
 		s := ServiceResult{
 			Service: shape.Name, Offered: m.offered, Answered: len(m.answered), Refused: len(m.refused),
 			Unknown: m.unknown, Below: m.below, Coverage: 1,
+			Hedges: m.hedges, Retries: m.retries,
 			P50: percentile(m.answered, 0.5), P99: percentile(m.answered, 0.99), P999: percentile(m.answered, 0.999),
 			RefusedAfter: percentile(m.refused, 0.99),
 		}
--- a/internal/bench/types.go
+++ b/internal/bench/types.go
@@ -90,7 +90,9 @@
 	// hosts that weren't cut off.
 	Coverage float64 `json:"coverage"`
 	// Extra is sub-requests ÷ the least possible number, minus 1.
-	Extra float64 `json:"extra_load"`
+	Extra   float64 `json:"extra_load"`
+	Hedges  int     `json:"hedges"`
+	Retries int     `json:"retries"`
 	// BudgetLimit is the greatest extra load that the budget allows.
 	BudgetLimit float64 `json:"budget_limit"`
 	// RefusedAfter is the p99 of the time until a refusal.
--- a/internal/scatter/budget.go
+++ b/internal/scatter/budget.go
@@ -31,6 +31,13 @@
 	b.mu.Unlock()
 }
 
+// gainNow returns the tokens gained per first try.
+func (b *budget) gainNow() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.gain
+}
+
 // take spends one token if there is one.
 func (b *budget) take() bool {
 	b.mu.Lock()
--- a/internal/scatter/service.go
+++ b/internal/scatter/service.go
@@ -10,8 +10,14 @@
 	"github.com/arbutusgauge/arbutusgauge/internal/wire"
 )
 
-// hedgeQuantile is the quantile of the latency after which a hedge is sent.
-const hedgeQuantile = 0.95
+const (
+	// leastHedgeQuantile is the least quantile of the latency after which a
+	// hedge is sent.
+	leastHedgeQuantile = 0.95
+	// hedgeShare is the share of the budget's gain that hedges may use in
+	// normal running; the rest is for retries and refills the burst.
+	hedgeShare = 0.8
+)
 
 // statusRetry is the least time between two status requests of a service.
 const statusRetry = time.Second
@@ -144,9 +150,15 @@
 	close(wait)
 }
 
+// hedgeQuantile is chosen so that hedges alone don't use up the budget. At a
+// lower one the burst is spent in normal running and is missing in a fault.
+func (s *service) hedgeQuantile() float64 {
+	return max(leastHedgeQuantile, 1-hedgeShare*s.budget.gainNow())
+}
+
 // hedgeDelay returns the time after which an unanswered sub-request is hedged.
 func (s *service) hedgeDelay(now time.Time, o *Options) time.Duration {
-	d := s.latency.quantile(hedgeQuantile, now)
+	d := s.latency.quantile(s.hedgeQuantile(), now)
 	if d == 0 {
 		return o.HedgeDelay
 	}
