--- a/internal/front/errors.go
+++ b/internal/front/errors.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/arbutusgauge/arbutusgauge/internal/jwcc"
 	"github.com/arbutusgauge/arbutusgauge/internal/wire"
 )
 
@@ -75,25 +76,15 @@
 // Unwrap returns the cause.
 func (e *NotSentError) Unwrap() error { return e.Err }
 
-// Problem is one fault of a release note.
-type Problem struct {
-	File    string `json:"file"`
-	Line    int    `json:"line"`
-	Key     string `json:"key"`
-	Message string `json:"message"`
-}
-
 // BadNoteError lists the faults of a release note.
-type BadNoteError struct{ Problems []Problem }
+type BadNoteError struct{ Problems []jwcc.Problem }
 
 // Error implements error.
 func (e *BadNoteError) Error() string {
 	if len(e.Problems) == 0 {
 		return "release note is not valid"
 	}
-	p := e.Problems[0]
-	return fmt.Sprintf("release note is not valid: %d problems, the first at %s:%d: %s",
-		len(e.Problems), p.File, p.Line, p.Message)
+	return fmt.Sprintf("release note is not valid: %d problems, the first: %s", len(e.Problems), e.Problems[0])
 }
 
 // ConflictError reports that another note changed the configuration first.
--- a/internal/front/observe.go
+++ b/internal/front/observe.go
@@ -55,8 +55,9 @@
 			"forwarded": r.forwarded,
 		}).Warn("request failed")
 	}
-	if r.forwarded {
-		return // counted by the host that the caller sent it to
+	// A forwarded request is counted by the host that the caller sent it to.
+	if r.forwarded || isCallersFault(out.code) {
+		return
 	}
 	search := out.planned
 	if cfg := s.opts.Configs.Current(); search == nil && cfg != nil {
@@ -70,6 +71,16 @@
 	}
 }
 
+// isCallersFault reports a refusal that says nothing about the service level.
+func isCallersFault(code Code) bool {
+	switch code {
+	case CodeBadRequest, CodeTicketRequired, CodeTicketInvalid, CodeTicketExpired, CodeTicketRunning,
+		CodeTicketUsed, CodeUnknownService, CodeUnknownSearch:
+		return true
+	}
+	return false
+}
+
 // guarded turns a panic of f into a response.
 func (s *Server) guarded(id string, f func() *response) (out *response) {
 	defer func() {
--- a/internal/front/operator.go
+++ b/internal/front/operator.go
@@ -7,6 +7,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
+	"github.com/arbutusgauge/arbutusgauge/internal/jwcc"
 	"github.com/arbutusgauge/arbutusgauge/internal/member"
 	"github.com/arbutusgauge/arbutusgauge/internal/wire"
 )
@@ -20,13 +21,13 @@
 
 // operatorError is the body of an error of the operators' interface.
 type operatorError struct {
-	Error       Code      `json:"error"`
-	Message     string    `json:"message"`
-	Request     string    `json:"request"`
-	Outcome     string    `json:"outcome,omitempty"`
-	Problems    []Problem `json:"problems,omitempty"`
-	WinningNote string    `json:"winning_note,omitempty"`
-	Version     uint64    `json:"version,omitempty"`
+	Error       Code           `json:"error"`
+	Message     string         `json:"message"`
+	Request     string         `json:"request"`
+	Outcome     string         `json:"outcome,omitempty"`
+	Problems    []jwcc.Problem `json:"problems,omitempty"`
+	WinningNote string         `json:"winning_note,omitempty"`
+	Version     uint64         `json:"version,omitempty"`
 }
 
 // postNote handles POST /v1/operator/notes.
--- a/internal/front/operator_test.go
+++ b/internal/front/operator_test.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/arbutusgauge/arbutusgauge/internal/front"
+	"github.com/arbutusgauge/arbutusgauge/internal/jwcc"
 )
 
 // An operator must learn whether a note took effect, and which note won.
@@ -20,7 +21,7 @@
 		parts  []string
 	}{
 		{
-			&front.BadNoteError{Problems: []front.Problem{{File: "a.jsonc", Line: 3, Key: "base", Message: "m"}}}, 400,
+			&front.BadNoteError{Problems: []jwcc.Problem{{File: "a.jsonc", Line: 3, Key: "base", Message: "m"}}}, 400,
 			[]string{`"error":"bad_note"`, `"problems":[{"file":"a.jsonc","line":3,"key":"base","message":"m"}]`},
 		},
 		{
--- a/internal/front/search_test.go
+++ b/internal/front/search_test.go
@@ -38,6 +38,7 @@
 		Expect(f.ran()).To(BeZero())
 		Expect(lines.Entries).To(HaveLen(1))
 		Expect(lines.Entries[0].Fields).To(HaveKeyWithValue("error", code))
+		Expect(len(f.recorded) == 1).To(Equal(code == "overloaded"), "the caller's faults spend no error budget")
 	},
 	bad(`[]`), bad(`{"range": {"lo": 1}`), bad(`{} {}`), bad(`{"unknown": 1}`), bad(`{"Payload": "x"}`),
 	bad(`{"payload": "x", "payload": "y"}`), bad(`{"payload": 7}`), bad(`{"deadline": "5"}`),
