Use the front's own adapters and give parallel end-to-end runs their own ports

Change: internal/entry uses the adapters of internal/front; a run takes the first port offset whose guard port is free. Conclusion: the cause of the failed run is not proved; its logs were not kept.

--- a/internal/e2e/serving_test.go
+++ b/internal/e2e/serving_test.go
@@ -51,7 +51,7 @@
 	})
 
 	It("gives a leaving backend server no new work after 3 seconds, although its status says that it is well", func() {
-		const replica = "127.0.0.1:30000" // shard 0 of mill-dispatch in badin
+		replica := string(fleet.Note.Services.Added[0].Shards[0].Replicas[0].Addr)
 		lie := map[string]any{"status_lie": map[string]any{"state": "ready", "oldest": 1, "newest": 1}}
 		setFaults("badin", replica, lie)
 		_, err := caller.Post(context.Background(), fleet.PlatformAddr(), "/admin/hosts", map[string]any{
--- a/internal/e2e/suite_test.go
+++ b/internal/e2e/suite_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -16,7 +18,12 @@
 )
 
 const (
-	portOffset = 10000 // clear of the demo's ports
+	// Port offsets lie clear of the demo's ports. Runs at the same time take
+	// different ones: each holds the guard port of its offset.
+	firstOffset = 10000
+	offsetStep  = 300
+	offsets     = 6
+	guardPort   = 16900
 	startLimit = 30 * time.Second
 	// forceLimit is the stated bound for a configuration to be in force.
 	forceLimit = 4 * time.Second
@@ -52,7 +59,7 @@
 		Programs: bin, Note: filepath.Join(rootDir, "examples/ganna/release-note.hujson"),
 		Settings:    filepath.Join(rootDir, "examples/ganna/badin-1.hujson"),
 		DataCentres: []string{"badin", "thatta", "tando"}, HostsPer: 3, Dir: dir,
-		PortOffset: portOffset, Delay: 5 * time.Millisecond, DrainWait: drainWait,
+		PortOffset: freeOffset(), Delay: 5 * time.Millisecond, DrainWait: drainWait,
 	})
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(fleet.Kill)
@@ -63,6 +70,20 @@
 	Expect(fleet.WaitReady(forceLimit)).To(Succeed())
 })
 
+// freeOffset returns a port offset that no other run holds.
+func freeOffset() int {
+	for i := range offsets {
+		offset := firstOffset + i*offsetStep
+		guard, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(guardPort+offset))
+		if err == nil {
+			DeferCleanup(guard.Close)
+			return offset
+		}
+	}
+	Fail("every port offset is in use")
+	return 0
+}
+
 // One failed spec must not leave its faults to the next one.
 var _ = AfterEach(func() {
 	setPlatform(map[string]any{})
--- a/internal/entry/adapters.go
+++ b/internal/entry/adapters.go
@@ -6,7 +6,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/arbutusgauge/arbutusgauge/internal/burn"
 	"github.com/arbutusgauge/arbutusgauge/internal/front"
 	"github.com/arbutusgauge/arbutusgauge/internal/owner"
 	"github.com/arbutusgauge/arbutusgauge/internal/peer"
@@ -16,48 +15,6 @@
 	"github.com/arbutusgauge/arbutusgauge/internal/wire"
 )
 
-// ownedReplicas gives the operators' view of the replicas owned here.
-type ownedReplicas struct{ owner *owner.Owner }
-
-// Replicas implements front.Replicas.
-func (r ownedReplicas) Replicas(service string) []front.Replica {
-	var out []front.Replica
-	for _, info := range r.owner.ReplicaStatus(service) {
-		if !info.Owned {
-			continue
-		}
-		out = append(out, front.Replica{
-			Replica:     info.Replica,
-			Service:     info.Service,
-			Shard:       info.Shard,
-			State:       info.Load.State.String(),
-			InFlight:    info.Load.InFlight,
-			Queued:      info.Load.Queued,
-			Slots:       info.Load.Slots,
-			Held:        front.HeldSnapshots(info.Held),
-			Connections: uint32(info.Connections),
-		})
-	}
-	return out
-}
-
-// burnRecorder feeds the service-level accounting.
-type burnRecorder struct{ recorder *burn.Recorder }
-
-// Record implements front.Burn.
-func (b burnRecorder) Record(o front.Observation) {
-	b.recorder.Record(o.Service, o.Search.Name, burn.Result{
-		Outcome:    o.Outcome,
-		BelowLeast: o.Code == front.CodeBelowCoverage,
-		Latency:    o.Latency,
-		Coverage:   o.Coverage,
-		Objective:  o.Search.Objective,
-	})
-}
-
-// Report implements front.Burn.
-func (b burnRecorder) Report() any { return b.recorder.HostReport() }
-
 // forwarder sends ticketed requests to other hosts.
 type forwarder struct{ client *peer.Client }
 
