Document settings and gaugectl, and correct what a run against hosts showed

Cause: a run of gaugectl against three entry hosts with stand-in backend servers showed that check reported an applied note as beaten by itself, that problems from a host got column 0, and that diff listed added keys as changes from zero. A document that ends in a comment without a newline was refused. Change: docs/settings.md and docs/gaugectl.md, with tests that every setting, command, flag and exit code is on them; check says that a note had been applied; places leave out an unknown column; diff lists the values of what is added. Tests for nested siblings, ranges that overlap a wide one, and redirects, which changed code had passed.

--- a/internal/jwcc/decode.go
+++ b/internal/jwcc/decode.go
@@ -29,7 +29,7 @@
 	if offset, ok := tooDeep(body); ok {
 		return nil, &Error{Problems: []Problem{source.problem(offset, "", fmt.Sprintf(depthForm, maxDepth))}}
 	}
-	value, err := hujson.Parse(body)
+	value, err := hujson.Parse(endComment(body))
 	if err != nil {
 		return nil, &Error{Problems: []Problem{syntaxProblem(file, err)}}
 	}
@@ -50,6 +50,16 @@
 	maxProblems = 100
 )
 
+// endComment adds the newline that the parser needs after a comment on the last
+// line.
+func endComment(body []byte) []byte {
+	last := body[bytes.LastIndexByte(body, '\n')+1:]
+	if !bytes.Contains(last, []byte("//")) {
+		return body
+	}
+	return append(body[:len(body):len(body)], '\n')
+}
+
 // syntaxProblem takes the place out of the parser's message.
 func syntaxProblem(file string, err error) Problem {
 	p := Problem{File: file}
--- a/internal/jwcc/decode_test.go
+++ b/internal/jwcc/decode_test.go
@@ -64,6 +64,10 @@
 func TestDecodeRefusesDeepNesting(t *testing.T) {
 	g := gomega.NewWithT(t)
 	g.Expect(problems(t, strings.Repeat("[", 10_000_000))).To(gomega.Equal([]string{"f.json:1:65: nested too deeply; allowed are 64 levels"}))
+	afterSiblings := "[" + strings.Repeat("[],", 100) + strings.Repeat("[", 64)
+	g.Expect(problems(t, afterSiblings)).To(gomega.HaveExactElements(gomega.HaveSuffix("nested too deeply; allowed are 64 levels")))
+	inText := `{"name": "` + strings.Repeat("[", 100) + `\"{"} // ` + strings.Repeat("[", 100)
+	g.Expect(problems(t, inText)).To(gomega.BeEmpty())
 }
 
 // Guards against panics and against values that differ from those of
@@ -80,7 +84,7 @@
 		if Decode("f.json", body, &got) != nil {
 			return
 		}
-		plain, err := hujson.Standardize(append([]byte(nil), body...))
+		plain, err := hujson.Standardize(append(append([]byte(nil), body...), '\n'))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/jwcc/errors.go
+++ b/internal/jwcc/errors.go
@@ -22,7 +22,10 @@
 		b.WriteString(p.File + ":")
 	}
 	if p.Line > 0 {
-		b.WriteString(strconv.Itoa(p.Line) + ":" + strconv.Itoa(p.Column) + ":")
+		b.WriteString(strconv.Itoa(p.Line) + ":")
+	}
+	if p.Column > 0 {
+		b.WriteString(strconv.Itoa(p.Column) + ":")
 	}
 	if b.Len() > 0 {
 		b.WriteString(" ")
--- a/internal/operator/notes.go
+++ b/internal/operator/notes.go
@@ -54,7 +54,7 @@
 		}
 		return reply, &jwcc.Error{Problems: answer.Reply.Problems}
 	case "conflict":
-		if answer.Reply.WinningNote == id && !dryRun {
+		if answer.Reply.WinningNote == id {
 			return noteReply{Applied: true, Version: answer.Reply.Version, Note: id, Already: true}, nil
 		}
 		return reply, &ConflictError{Note: id, WinningNote: answer.Reply.WinningNote, Version: answer.Reply.Version}
@@ -66,9 +66,15 @@
 	Note    string `json:"note"`
 	Valid   bool   `json:"valid"`
 	Against string `json:"against"` // what the note was checked against
+	// AppliedAs is the version of a note that took effect before; otherwise 0.
+	AppliedAs uint64 `json:"applied_as,omitempty"`
 }
 
 func (v checkView) writeText(w io.Writer) error {
+	if v.AppliedAs != 0 {
+		_, err := fmt.Fprintf(w, "note %s had been applied as version %d\n", v.Note, v.AppliedAs)
+		return err
+	}
 	_, err := fmt.Fprintf(w, "note %s is valid, checked against %s\n", v.Note, v.Against)
 	return err
 }
@@ -81,10 +87,14 @@
 	against := "the form of a note only"
 	switch {
 	case len(s.client.hosts) > 0:
-		if _, err := s.sendNote(ctx, file, body, n.ID, true); err != nil {
+		reply, err := s.sendNote(ctx, file, body, n.ID, true)
+		if err != nil {
 			return err
 		}
 		against = fmt.Sprintf("version %d in force", n.Base)
+		if reply.Already {
+			return s.show(checkView{Note: n.ID, Valid: true, Against: against, AppliedAs: reply.Version})
+		}
 	case n.Base == 0:
 		if err := release.Check(nil, n); err != nil {
 			return err
--- a/internal/operator/script_test.go
+++ b/internal/operator/script_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -35,6 +36,33 @@
 	})
 }
 
+// Guards against commands, flags and exit codes that docs/gaugectl.md does not
+// describe.
+func TestEveryCommandIsDocumented(t *testing.T) {
+	page, err := os.ReadFile("../../docs/gaugectl.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	app, _ := newApp(&Options{Stdout: io.Discard, Stderr: io.Discard})
+	var want []string
+	for _, command := range app.Model().Commands {
+		if command.Name != "help" {
+			want = append(want, "\n## "+command.Name+"\n")
+		}
+		for _, flag := range command.Flags {
+			want = append(want, "`--"+flag.Name)
+		}
+	}
+	for code := ExitOK; code <= ExitBelowCoverage; code++ {
+		want = append(want, "\n| "+strconv.Itoa(int(code))+" |")
+	}
+	for _, text := range want {
+		if !strings.Contains(string(page), text) {
+			t.Errorf("docs/gaugectl.md lacks %q", text)
+		}
+	}
+}
+
 // fakeHost answers each "METHOD path" with its replies in order; the last one
 // is repeated.
 type fakeHost struct {
@@ -64,6 +92,9 @@
 	if reply.Cut {
 		panic(http.ErrAbortHandler)
 	}
+	if reply.Status == http.StatusTemporaryRedirect {
+		w.Header().Set("Location", r.URL.Path) // http.Client would repeat the call
+	}
 	if reply.Status != 0 {
 		w.WriteHeader(reply.Status)
 	}
--- a/internal/release/diff.go
+++ b/internal/release/diff.go
@@ -33,7 +33,8 @@
 	Action Action `json:"action"`
 	Kind   Kind   `json:"kind"`
 	Name   string `json:"name"` // service, or "service/search"
-	// Details names each key that differs, as "slots: 2 -> 3".
+	// Details names each key that differs, as "slots: 2 -> 3", or the keys of
+	// what is added, as "slots: 3".
 	Details []string `json:"details,omitempty"`
 }
 
@@ -54,7 +55,7 @@
 	return append(services, diffDocuments(KindSearch, a.Searches, b.Searches, searchDetails)...)
 }
 
-func diffDocuments[T any](kind Kind, a, b map[string]*T, details func(a, b *T) []string) []Change {
+func diffDocuments[T any](kind Kind, a, b map[string]*T, list func(d *details, a, b *T)) []Change {
 	names := slices.Sorted(maps.Keys(a))
 	for name := range b {
 		if _, ok := a[name]; !ok {
@@ -67,39 +68,49 @@
 		change := Change{Kind: kind, Name: name}
 		switch from, to := a[name], b[name]; {
 		case from == nil:
-			change.Action, change.Details = Added, details(new(T), to)
+			d := details{added: true}
+			list(&d, new(T), to)
+			change.Action, change.Details = Added, d.lines
 		case to == nil:
 			change.Action = Withdrawn
 		default:
-			change.Action, change.Details = Changed, details(from, to)
-			if len(change.Details) == 0 {
+			var d details
+			list(&d, from, to)
+			if len(d.lines) == 0 {
 				continue
 			}
+			change.Action, change.Details = Changed, d.lines
 		}
 		out = append(out, change)
 	}
 	return out
 }
 
-// details collects the keys that differ.
-type details []string
+// details collects the keys that differ, or all keys of what is added.
+type details struct {
+	added bool
+	lines []string
+}
+
+func (d *details) add(line string) { d.lines = append(d.lines, line) }
 
 func compare[T comparable](d *details, key string, a, b T) {
-	if a != b {
-		*d = append(*d, fmt.Sprintf("%s: %v -> %v", key, a, b))
+	switch {
+	case d.added:
+		d.add(fmt.Sprintf("%s: %v", key, b))
+	case a != b:
+		d.add(fmt.Sprintf("%s: %v -> %v", key, a, b))
 	}
 }
 
-func serviceDetails(a, b *Service) []string {
-	var d details
-	compare(&d, "slots", a.Slots, b.Slots)
-	compare(&d, "connections", a.Connections, b.Connections)
-	compare(&d, "connect_cost", a.ConnectCost.D(), b.ConnectCost.D())
-	compare(&d, "ownership_block", a.OwnershipBlock, b.OwnershipBlock)
-	compare(&d, "extra_load", a.ExtraLoad, b.ExtraLoad)
-	compare(&d, "extra_burst", a.ExtraBurst, b.ExtraBurst)
-	shardDetails(&d, a.Shards, b.Shards)
-	return d
+func serviceDetails(d *details, a, b *Service) {
+	compare(d, "slots", a.Slots, b.Slots)
+	compare(d, "connections", a.Connections, b.Connections)
+	compare(d, "connect_cost", a.ConnectCost.D(), b.ConnectCost.D())
+	compare(d, "ownership_block", a.OwnershipBlock, b.OwnershipBlock)
+	compare(d, "extra_load", a.ExtraLoad, b.ExtraLoad)
+	compare(d, "extra_burst", a.ExtraBurst, b.ExtraBurst)
+	shardDetails(d, a.Shards, b.Shards)
 }
 
 // maxShardDetails bounds the shards that one change describes in full.
@@ -129,7 +140,7 @@
 	listShards(d, "shards withdrawn", withdrawn)
 	listShards(d, "shards changed", changed)
 	if len(added)+len(withdrawn)+len(changed) == 0 && !slices.EqualFunc(a, b, sameID) {
-		*d = append(*d, "shards: order")
+		d.add("shards: order")
 	}
 }
 
@@ -143,7 +154,7 @@
 	if more := len(shards) - maxShardDetails; more > 0 {
 		text += fmt.Sprintf(" and %d more", more)
 	}
-	*d = append(*d, fmt.Sprintf("%s (%d): %s", label, len(shards), text))
+	d.add(fmt.Sprintf("%s (%d): %s", label, len(shards), text))
 }
 
 func shardsByID(shards []Shard) map[uint32]Shard {
@@ -191,15 +202,13 @@
 	return out
 }
 
-func searchDetails(a, b *Search) []string {
-	var d details
-	compare(&d, "repeatable", a.Repeatable, b.Repeatable)
-	compare(&d, "wait", a.Wait, b.Wait)
-	compare(&d, "latency_goal", a.LatencyGoal.D(), b.LatencyGoal.D())
-	compare(&d, "deadline", a.Deadline.D(), b.Deadline.D())
-	compare(&d, "least_coverage", a.LeastCoverage, b.LeastCoverage)
-	compare(&d, "objective.good", a.Objective.Good, b.Objective.Good)
-	compare(&d, "objective.latency", a.Objective.Latency.D(), b.Objective.Latency.D())
-	compare(&d, "objective.coverage", a.Objective.Coverage, b.Objective.Coverage)
-	return d
+func searchDetails(d *details, a, b *Search) {
+	compare(d, "repeatable", a.Repeatable, b.Repeatable)
+	compare(d, "wait", a.Wait, b.Wait)
+	compare(d, "latency_goal", a.LatencyGoal.D(), b.LatencyGoal.D())
+	compare(d, "deadline", a.Deadline.D(), b.Deadline.D())
+	compare(d, "least_coverage", a.LeastCoverage, b.LeastCoverage)
+	compare(d, "objective.good", a.Objective.Good, b.Objective.Good)
+	compare(d, "objective.latency", a.Objective.Latency.D(), b.Objective.Latency.D())
+	compare(d, "objective.coverage", a.Objective.Coverage, b.Objective.Coverage)
 }
--- a/internal/release/release_test.go
+++ b/internal/release/release_test.go
@@ -83,6 +83,10 @@
 		{"shard id", func(n *Note) { n.Services.Added[0].Shards[1].ID = 0 }, "n.jwcc:6:14: services.added[0].shards[1].id: shard id 0 is already used"},
 		{"empty range", func(n *Note) { n.Services.Added[0].Shards[1].Range.Hi = 10 }, "shards[1].range: range [10,10) is empty"},
 		{"overlap", func(n *Note) { n.Services.Added[0].Shards[1].Range.Lo = 9 }, "range [9,20) of shard 1 overlaps [0,10) of shard 0"},
+		{"overlap with a wide one", func(n *Note) {
+			n.Services.Added[0].Shards = append(n.Services.Added[0].Shards, Shard{ID: 2, Range: wire.KeyRange{Lo: 20, Hi: 21}})
+			n.Services.Added[0].Shards[0].Range.Hi = 30
+		}, "range [20,21) of shard 2 overlaps [0,30) of shard 0"},
 		{"host name", func(n *Note) { n.Services.Added[0].Shards[0].Replicas[0].Addr = "db:1" }, `"db:1" is not the address of a replica; allowed is IP:port`},
 		{"no port", func(n *Note) { n.Services.Added[0].Shards[0].Replicas[0].Addr = "127.0.0.1" }, "allowed is IP:port"},
 		{"port 0", func(n *Note) { n.Services.Added[0].Shards[0].Replicas[0].Addr = "127.0.0.1:0" }, "allowed is IP:port"},
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -72,3 +73,25 @@
 		})
 	}
 }
+
+// Guards against a setting that docs/settings.md does not describe.
+func TestEverySettingIsDocumented(t *testing.T) {
+	page, err := os.ReadFile("../../docs/settings.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var check func(prefix string, t reflect.Type) []string
+	check = func(prefix string, t reflect.Type) []string {
+		var missing []string
+		for i := range t.NumField() {
+			key := prefix + t.Field(i).Tag.Get("json")
+			if t.Field(i).Type.Kind() == reflect.Struct {
+				missing = append(missing, check(key+".", t.Field(i).Type)...)
+			} else if !strings.Contains(string(page), "\n| `"+key+"` |") {
+				missing = append(missing, key)
+			}
+		}
+		return missing
+	}
+	gomega.NewWithT(t).Expect(check("", reflect.TypeFor[Entry]())).To(gomega.BeEmpty())
+}
