--- /dev/null
+++ b/internal/owner/bench_test.go
@@ -0,0 +1,110 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/backend"
+	"github.com/arbutusgauge/arbutusgauge/internal/wire"
+)
+
+// instantConn answers at once, so that a benchmark measures the owner alone.
+type instantConn struct{}
+
+func (instantConn) Run(_ context.Context, subs []wire.Sub) ([]wire.Reply, error) {
+	replies := make([]wire.Reply, len(subs))
+	for i := range subs {
+		replies[i] = wire.Reply{ID: subs[i].ID, Replica: subs[i].Replica, Outcome: wire.Answered}
+	}
+	return replies, nil
+}
+func (instantConn) Cancel(context.Context, []wire.SubID) error     { return nil }
+func (instantConn) Status(context.Context) (backend.Status, error) { return backend.Status{}, nil }
+func (instantConn) Close() error                                   { return nil }
+
+type instantDialer struct{}
+
+func (instantDialer) Dial(context.Context, wire.ReplicaID) (backend.Conn, error) {
+	return instantConn{}, nil
+}
+
+// BenchmarkSend measures one sub-request from Send to done, in batches of
+// different sizes that go to different replicas.
+func BenchmarkSend(b *testing.B) {
+	for _, size := range []int{1, 8, 64} {
+		b.Run(fmt.Sprintf("batch=%d", size), func(b *testing.B) { benchmarkSend(b, size) })
+	}
+}
+
+func benchmarkSend(b *testing.B, size int) {
+	var ids []wire.ReplicaID
+	for i := range size {
+		ids = append(ids, wire.ReplicaID(fmt.Sprintf("127.0.0.1:%d", 1000+i)))
+	}
+	o, err := New(Options{DataCentre: "badin", Dialer: instantDialer{}, Ownership: &ownership{}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	cfg := config(testSlots, ids)
+	o.SetConfig(cfg)
+	defer func() { _ = o.Stop(context.Background()) }()
+	subs := make([]wire.Sub, size)
+	var wait sync.WaitGroup
+	done := func(replies []wire.Reply) {
+		for range replies {
+			wait.Done()
+		}
+	}
+	seq := uint64(0)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for n := 0; n < b.N; n += size {
+		for i := range subs {
+			seq++
+			subs[i] = wire.Sub{
+				ID: wire.SubID{Host: 1, Seq: seq}, Service: "mill-dispatch", Replica: ids[i], TimeLeft: time.Second,
+			}
+		}
+		wait.Add(size)
+		o.Send(subs, done)
+		wait.Wait()
+	}
+}
+
+// BenchmarkSendParallel measures the throughput of one host with 64 replicas
+// and many concurrent queries.
+func BenchmarkSendParallel(b *testing.B) {
+	var ids []wire.ReplicaID
+	for i := range 64 {
+		ids = append(ids, wire.ReplicaID(fmt.Sprintf("127.0.0.1:%d", 1000+i)))
+	}
+	o, err := New(Options{DataCentre: "badin", Dialer: instantDialer{}, Ownership: &ownership{}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	o.SetConfig(config(testSlots, ids))
+	defer func() { _ = o.Stop(context.Background()) }()
+	var mu sync.Mutex
+	host := uint64(0)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		mu.Lock()
+		host++
+		mine := host
+		mu.Unlock()
+		got := make(chan struct{}, 1)
+		done := func([]wire.Reply) { got <- struct{}{} }
+		subs := make([]wire.Sub, 1)
+		for seq := uint64(1); pb.Next(); seq++ {
+			subs[0] = wire.Sub{
+				ID: wire.SubID{Host: mine, Seq: seq}, Service: "mill-dispatch",
+				Replica: ids[(mine*7+seq)%64], TimeLeft: time.Second,
+			}
+			o.Send(subs, done)
+			<-got
+		}
+	})
+}
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -37,6 +37,7 @@
 	most     int
 	cancels  []wire.SubID
 	probes   int
+	cut      int // runs that ended because the connection was closed
 }
 
 // fakeServer is one replica.
@@ -145,6 +146,7 @@
 	}
 	if fault == faultUnsent {
 		s.mu.Unlock()
+		time.Sleep(took / 4)
 		return nil, &backend.NotSentError{Replica: c.id, Err: syscall.EPIPE}
 	}
 	if s.silent > 0 {
@@ -168,6 +170,7 @@
 	select {
 	case <-time.After(took):
 	case <-c.closed:
+		s.set(func(s *fakeServer) { s.cut++ })
 		return nil, c.lost()
 	case <-ctx.Done():
 		return nil, c.lost()
@@ -253,6 +256,7 @@
 	leaving   map[wire.ReplicaID]bool
 	mu        sync.Mutex
 	replies   map[wire.SubID][]wire.Reply
+	at        map[wire.SubID]time.Time // of the latest reply
 	next      uint64
 	stop      context.CancelFunc
 	stopped   chan struct{}
@@ -274,15 +278,19 @@
 }
 
 // newBench starts an owner; settle waits until the overlap is over.
-func newBench(t *testing.T, cfg *release.Config, settle bool) *bench {
+func newBench(t *testing.T, cfg *release.Config, settle bool, change ...func(*Options)) *bench {
 	b := &bench{
 		t: t, dialer: &fakeDialer{}, ownership: &ownership{}, leaving: map[wire.ReplicaID]bool{},
-		replies: map[wire.SubID][]wire.Reply{}, stopped: make(chan struct{}),
+		replies: map[wire.SubID][]wire.Reply{}, at: map[wire.SubID]time.Time{}, stopped: make(chan struct{}),
 	}
-	o, err := New(Options{
+	options := Options{
 		DataCentre: "badin", Dialer: b.dialer, Ownership: b.ownership,
 		LeavingServer: func(id wire.ReplicaID) bool { b.mu.Lock(); defer b.mu.Unlock(); return b.leaving[id] },
-	})
+	}
+	for _, f := range change {
+		f(&options)
+	}
+	o, err := New(options)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -307,6 +315,7 @@
 	defer b.mu.Unlock()
 	for _, r := range replies {
 		b.replies[r.ID] = append(b.replies[r.ID], r)
+		b.at[r.ID] = time.Now()
 	}
 }
 
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,7 +13,17 @@
 	"github.com/arbutusgauge/arbutusgauge/internal/wire"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
+		// Every run gives the same verdict unless a seed is asked for.
+		_ = seed.Value.Set("1")
+	}
+	if checks := flag.Lookup("rapid.checks"); checks.Value.String() == "100" {
+		_ = checks.Value.Set("1000")
+	}
+	goleak.VerifyTestMain(m)
+}
 
 const (
 	r1 wire.ReplicaID = "127.0.0.1:1001"
@@ -178,6 +189,21 @@
 	})
 }
 
+// Guards against a stop that closes a connection on which the server still
+// works for a cancelled sub-request.
+func TestStopWaitsForCancelled(t *testing.T) {
+	bubble(t, func(g *WithT, b *bench) {
+		s := b.dialer.server(r1)
+		s.set(func(s *fakeServer) { s.took = 100 * time.Millisecond })
+		ids := b.send(r1, time.Second, 1)
+		time.Sleep(time.Millisecond)
+		b.owner.Cancel(ids)
+		synctest.Wait()
+		g.Expect(b.owner.Stop(context.Background())).To(Succeed())
+		g.Expect(s.seen().cut).To(BeZero())
+	})
+}
+
 // Guards against a stop that waits beyond its time.
 func TestStopReportsCutOff(t *testing.T) {
 	bubble(t, func(g *WithT, b *bench) {
@@ -185,7 +211,9 @@
 		id := b.send(r1, time.Minute, 1)[0]
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
+		start := time.Now()
 		g.Expect(b.owner.Stop(ctx)).To(MatchError(&StopError{Unfinished: 1}))
+		g.Expect(time.Since(start)).To(Equal(time.Second))
 		g.Expect(b.reply(id).Outcome).To(Equal(wire.Unknown))
 	})
 }
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -43,8 +43,7 @@
 // failedReply classifies a failed Run: only *backend.NotSentError proves that
 // the sub-request did not run.
 func failedReply(a *attempt, err error, timedOut bool) wire.Reply {
-	var unsent *backend.NotSentError
-	if errors.As(err, &unsent) {
+	if notSent(err) {
 		return ownReply(a, wire.NotRun, wire.ReasonConnLost)
 	}
 	if timedOut {
@@ -53,6 +52,11 @@
 	return ownReply(a, wire.Unknown, wire.ReasonConnLost)
 }
 
+func notSent(err error) bool {
+	var unsent *backend.NotSentError
+	return errors.As(err, &unsent)
+}
+
 // skipped frees the slot of an attempt that was cancelled or expired before it
 // was passed to the connection.
 func (r *replica) skipped(c *pooled, a *attempt) {
@@ -109,8 +113,7 @@
 // requeue puts an attempt back whose connection was dead before a byte was
 // written. It proved not to run, so this holds for non-repeatable ones too.
 func (r *replica) requeue(a *attempt, err error, now time.Time) bool {
-	var unsent *backend.NotSentError
-	if err == nil || !errors.As(err, &unsent) {
+	if err == nil || !notSent(err) {
 		return false
 	}
 	if a.unsent >= maxUnsent || !a.deadline.After(now) || r.vanished || r.closed || r.health.draining() {
