--- a/internal/scatter/gather.go
+++ b/internal/scatter/gather.go
@@ -88,7 +88,6 @@
 		q.refused(p, a, reply, now)
 	}
 	if p.ended || p.outstanding > 0 {
-		q.hedgeAgain(p, a, reply, now)
 		return
 	}
 	if !q.repeatable && reply.Outcome != wire.NotRun {
@@ -99,16 +98,6 @@
 	q.retry(int(a.part), now)
 }
 
-// hedgeAgain allows another hedge after one was refused because of load. The
-// attempt that is left may be in a long queue.
-func (q *query) hedgeAgain(p *part, a *attempt, reply *wire.Reply, now time.Time) {
-	if p.ended || !q.repeatable || reply.Outcome != wire.NotRun {
-		return
-	}
-	p.tried &^= 1 << a.replica.index
-	q.schedule(p, now.Add(q.engine.options.RetryBackoff))
-}
-
 // take accepts an answered reply and reports whether its part is complete.
 func (q *query) take(p *part, a *attempt, reply *wire.Reply) bool {
 	if p.ended {
