--- a/internal/scatter/snapshot.go
+++ b/internal/scatter/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -12,17 +13,27 @@
 // majority of its shard.
 const supportAge = 2 * time.Second
 
+const (
+	// wideSupport and majority are the shares of the voters that must hold a
+	// snapshot. A snapshot that only a majority holds leaves too few
+	// slots for a service at 70 % of its capacity.
+	wideSupport = 0.9
+	majority    = 0.5001
+)
+
 // maxVoters bounds the replicas of a shard that count in its majority.
 const maxVoters = 16
 
 // chooseSnapshot returns the snapshot of a query, or 0 if nothing is known of
-// any replica. Preferred is the newest one that most replicas of every shard
-// hold: if the newest of all were taken while it is being published, the few
-// replicas that have it already would get the whole load. Otherwise it is the
-// newest among those that reach the largest coverage.
+// any replica. Preferred is the newest one that nearly all replicas of every
+// shard hold, then that most hold: if the newest of all were taken while it is
+// being published, the few replicas that have it already would get the whole
+// load. Otherwise it is the newest among those that reach the largest coverage.
 func chooseSnapshot(parts []part, now time.Time) uint64 {
-	if s := majoritySnapshot(parts, now); s != 0 {
-		return s
+	for _, share := range []float64{wideSupport, majority} {
+		if s := supportedSnapshot(parts, share, now); s != 0 {
+			return s
+		}
 	}
 	if s := commonSnapshot(parts, now); s != 0 {
 		return s
@@ -41,13 +52,13 @@
 	return out
 }
 
-// majoritySnapshot returns the newest snapshot that more than half of the
-// voters of every part hold, or 0.
-func majoritySnapshot(parts []part, now time.Time) uint64 {
+// supportedSnapshot returns the newest snapshot that a share of the voters of
+// every part holds, or 0.
+func supportedSnapshot(parts []part, share float64, now time.Time) uint64 {
 	var buffer [maxVoters]wire.Held
 	var least uint64
 	for i := range parts {
-		newest := majorityNewest(parts[i].voters(now, &buffer))
+		newest := supportedNewest(parts[i].voters(now, &buffer), share)
 		if newest == 0 {
 			return 0
 		}
@@ -62,21 +73,24 @@
 				have++
 			}
 		}
-		if 2*have <= len(voters) {
+		if have < needed(len(voters), share) {
 			return 0
 		}
 	}
 	return least
 }
 
-// majorityNewest returns the greatest number that more than half of the
-// voters' newest snapshots reach. It reorders voters.
-func majorityNewest(voters []wire.Held) uint64 {
+// needed returns how many of n voters reach the share; at least one.
+func needed(n int, share float64) int { return int(math.Ceil(share * float64(n))) }
+
+// supportedNewest returns the greatest number that the newest snapshots of a
+// share of the voters reach. It reorders voters.
+func supportedNewest(voters []wire.Held, share float64) uint64 {
 	if len(voters) == 0 {
 		return 0
 	}
 	slices.SortFunc(voters, func(a, b wire.Held) int { return cmp.Compare(b.Newest, a.Newest) })
-	return voters[len(voters)/2].Newest
+	return voters[needed(len(voters), share)-1].Newest
 }
 
 // commonSnapshot returns the newest snapshot that every part can have, or 0.
