Measure the steady effect of a slow replica in the bench

Cause: in a measurement of 2 s the first 100 ms after a replica turns slow decide the p99: 16 queued sub-requests in its queue are 1.6 % of the queries. Change: the slow replica is slow from the start of the warm-up; the other faults still begin with the measurement.

--- a/internal/bench/simulation.go
+++ b/internal/bench/simulation.go
@@ -64,9 +64,14 @@
 		sim.offer(&queries, c.Measure)
 	} else {
 		time.Sleep(settle)
+		if c.Fault == FaultSlow {
+			sim.inject()
+		}
 		sim.offer(&queries, c.Warm)
 		sim.begin()
-		sim.inject()
+		if c.Fault != FaultSlow {
+			sim.inject()
+		}
 		sim.offer(&queries, c.Measure)
 	}
 	result := sim.result(time.Now())
@@ -148,7 +153,8 @@
 	}
 }
 
-// inject causes the fault.
+// inject causes the fault. A slow replica is slow from the start, so that its
+// steady effect is measured; the others begin with the measurement.
 func (sim *simulation) inject() {
 	first := sim.config.Services[sim.Deployment.Services[0].Name].Shards[0].Replicas[0].Addr
 	victim := sim.servers[first]
