Trust a peer stream only after it answered, and retry a lost connection freely once

Cause: in end-to-end runs a paused host cost coverage: its kernel accepts connections, so every 100 ms a new stream opened, took sub-requests and went silent, and the failure detector was not told. Change: a new stream must answer a ping within the dial timeout, else it counts as a failed dial, which suspects the host; a late loss of a hedged attempt counts against its replica; the first retry of a part after a broken connection takes no token.

--- a/internal/e2e/serving_test.go
+++ b/internal/e2e/serving_test.go
@@ -17,7 +17,7 @@
 		for range 20 {
 			reply := rota(fleet.HTTPAddr("badin-1"))
 			Expect(reply.Answered()).To(BeTrue(), "%+v", reply)
-			Expect(reply.Coverage.Fraction).To(Equal(1.0))
+			Expect(reply.Coverage.Fraction).To(Equal(1.0), "%+v", reply.Coverage.Missing)
 		}
 		Expect(fleet.StartHost("badin-2")).To(Succeed())
 		Expect(fleet.WaitReady(forceLimit, "badin-2")).To(Succeed())
@@ -33,7 +33,7 @@
 		for range 10 {
 			reply := rota(fleet.HTTPAddr("badin-1"))
 			Expect(reply.Answered()).To(BeTrue(), "%+v", reply)
-			Expect(reply.Coverage.Fraction).To(Equal(1.0))
+			Expect(reply.Coverage.Fraction).To(Equal(1.0), "%+v", reply.Coverage.Missing)
 		}
 	})
 
@@ -44,7 +44,7 @@
 		for time.Now().Before(end) {
 			reply := rota(fleet.HTTPAddr("thatta-1"))
 			Expect(reply.Answered()).To(BeTrue(), "%+v", reply)
-			Expect(reply.Coverage.Fraction).To(Equal(1.0))
+			Expect(reply.Coverage.Fraction).To(Equal(1.0), "%+v", reply.Coverage.Missing)
 		}
 		Expect(paused.Signal(syscall.SIGCONT)).To(Succeed())
 		Eventually(func() bool { return rota(fleet.HTTPAddr("thatta-2")).Answered() }, forceLimit, "100ms").Should(BeTrue())
@@ -65,7 +65,7 @@
 		after := executions("badin", replica)
 		for _, reply := range searches.stop() {
 			Expect(reply.Answered()).To(BeTrue(), "%+v", reply)
-			Expect(reply.Coverage.Fraction).To(Equal(1.0))
+			Expect(reply.Coverage.Fraction).To(Equal(1.0), "%+v", reply.Coverage.Missing)
 		}
 		Expect(after).To(Equal(before))
 		setFaults("badin", replica, map[string]any{})
--- a/internal/e2e/suite_test.go
+++ b/internal/e2e/suite_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -24,7 +25,7 @@
 	offsetStep  = 300
 	offsets     = 6
 	guardPort   = 16900
-	startLimit = 30 * time.Second
+	startLimit  = 30 * time.Second
 	// forceLimit is the stated bound for a configuration to be in force.
 	forceLimit = 4 * time.Second
 	// drainWait is longer than balancerLag, as operators are told to set it.
@@ -86,6 +87,9 @@
 
 // One failed spec must not leave its faults to the next one.
 var _ = AfterEach(func() {
+	for _, host := range fleet.Hosts {
+		_ = host.Signal(syscall.SIGCONT) // a host that has ended can't be woken
+	}
 	setPlatform(map[string]any{})
 	for _, dataCentre := range []string{"badin", "thatta", "tando"} {
 		setFaults(dataCentre, "all", map[string]any{})
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -22,6 +22,7 @@
 	accept chan net.Conn
 	conns  []*silentConn
 	down   bool
+	deaf   bool // new connections open but are silent, as those to a paused host
 }
 
 type refusedError struct{}
@@ -32,7 +33,7 @@
 
 func (n *pipeNet) dial(ctx context.Context, _ string) (net.Conn, error) {
 	n.mu.Lock()
-	down := n.down
+	down, deaf := n.down, n.deaf
 	n.mu.Unlock()
 	if down {
 		return nil, refusedError{}
@@ -43,7 +44,7 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	conn := &silentConn{Conn: client, closed: make(chan struct{})}
+	conn := &silentConn{Conn: client, closed: make(chan struct{}), silent: deaf}
 	n.mu.Lock()
 	n.conns = append(n.conns, conn)
 	n.mu.Unlock()
@@ -332,6 +333,25 @@
 	})
 }
 
+// Guards against a paused host, whose kernel accepts connections: sub-requests
+// must not be sent on a stream that never answered.
+func TestOpenConnectionWithoutAnswerIsAFailedDial(t *testing.T) {
+	inBubble(t, func(g *WithT, n *pipeNet, o *fakeOwner, c *Client, r *replies) {
+		n.mu.Lock()
+		n.deaf = true
+		n.mu.Unlock()
+		failed := make(chan string, streamsPerPeer)
+		c.opts.OnDialFailed = func(addr string) { failed <- addr }
+		start := time.Now()
+		c.Sender("a").Send(subs(0, 1, time.Second), r.done)
+		g.Expect(<-failed).To(Equal("a"))
+		g.Expect(time.Since(start)).To(BeNumerically("<=", defaultDialTimeout))
+		time.Sleep(time.Millisecond)
+		g.Expect(r.one(g, 0).Outcome).To(Equal(wire.NotRun))
+		g.Expect(o.got).To(BeEmpty())
+	})
+}
+
 func TestCancelReachesTheOwner(t *testing.T) {
 	inBubble(t, func(g *WithT, _ *pipeNet, o *fakeOwner, c *Client, r *replies) {
 		o.delay = 100 * time.Millisecond
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -48,7 +48,7 @@
 		_ = conn.Close()
 		return nil, &DialError{Addr: l.addr, Err: err}
 	}
-	return &stream{
+	s := &stream{
 		link:     l,
 		conn:     conn,
 		rpc:      rpc,
@@ -56,7 +56,34 @@
 		stop:     make(chan struct{}),
 		sent:     map[wire.SubID]*pending{},
 		lastRecv: time.Now(),
-	}, nil
+	}
+	if err := s.greet(dialCtx); err != nil {
+		_ = conn.Close()
+		return nil, &DialError{Addr: l.addr, Err: err}
+	}
+	return s, nil
+}
+
+// greet waits for one answer of the peer. The kernel of a paused host still
+// accepts connections, so an open connection doesn't show that the peer runs.
+func (s *stream) greet(ctx context.Context) error {
+	s.nextPing++
+	answered := make(chan error, 1)
+	s.link.wg.Add(1)
+	go func() {
+		defer s.link.wg.Done()
+		err := s.rpc.Send(&peerpb.Frame{From: s.link.opts.Self, Ping: s.nextPing})
+		if err == nil {
+			_, err = s.rpc.Recv()
+		}
+		answered <- err
+	}()
+	select {
+	case err := <-answered:
+		return errors.WithStack(err)
+	case <-ctx.Done():
+		return &SilentError{Addr: s.link.addr}
+	}
 }
 
 func (s *stream) start() {
@@ -144,7 +171,6 @@
 // so that batches grow with load and an idle stream adds no delay.
 func (s *stream) write() {
 	defer s.link.wg.Done()
-	first := true
 	for {
 		select {
 		case <-s.stop:
@@ -157,10 +183,6 @@
 			if frame == nil {
 				break
 			}
-			if first {
-				frame.From = s.link.opts.Self
-				first = false
-			}
 			if err := s.rpc.Send(frame); err != nil {
 				s.fail(errors.WithStack(err))
 				return
--- a/internal/scatter/attempt.go
+++ b/internal/scatter/attempt.go
@@ -148,7 +148,7 @@
 		q.noReplica(p, now)
 		return
 	}
-	if !q.service.budget.take() {
+	if !q.mayRetry(p) {
 		q.work.BudgetRefused++
 		q.schedule(p, now.Add(budgetPause))
 		return
@@ -160,6 +160,18 @@
 	q.extra(i, r, now)
 }
 
+// mayRetry takes a retry from the budget. The first retry of a part after a
+// broken connection is free: the budget guards against load that feeds on slow
+// replicas, and a broken connection ends at most the work outstanding on it,
+// while waiting for tokens would leave shards out although a replica lives.
+func (q *query) mayRetry(p *part) bool {
+	if p.lost && !p.lossRetried {
+		p.lossRetried = true
+		return true
+	}
+	return q.service.budget.take()
+}
+
 // extra adds a hedge or a retry to the outbox.
 func (q *query) extra(i int, r *replica, now time.Time) {
 	seq := q.engine.seq.Add(1)
--- a/internal/scatter/gather.go
+++ b/internal/scatter/gather.go
@@ -42,8 +42,25 @@
 	if reply.Outcome == wire.NotRun && reply.Reason == wire.ReasonCancelled {
 		q.engine.metrics.saved.Inc(1)
 	}
-	if r := q.table.byID[reply.Replica]; r != nil {
-		r.observe(now, reply.Held, reply.Load)
+	r := q.table.byID[reply.Replica]
+	if r == nil {
+		return
+	}
+	r.observe(now, reply.Held, reply.Load)
+	if reply.Outcome != wire.Answered && isLoss(reply.Reason) {
+		// Its attempt lost against a hedge, which hid the failure so far.
+		r.fail(now)
+	}
+}
+
+// isLoss reports whether a reason means that the way to the replica broke, as
+// opposed to a replica that is slow or refuses.
+func isLoss(reason wire.Reason) bool {
+	switch reason {
+	case wire.ReasonPeerLost, wire.ReasonConnLost, wire.ReasonConnSilent, wire.ReasonConnRefused:
+		return true
+	default:
+		return false
 	}
 }
 
@@ -142,6 +159,7 @@
 		}
 	}
 	p.reason = reason
+	p.lost = p.lost || isLoss(reason)
 	if q.refusals == nil {
 		q.refusals = map[wire.Reason]int{}
 	}
--- a/internal/scatter/plan.go
+++ b/internal/scatter/plan.go
@@ -23,6 +23,8 @@
 	stuck       bool      // waits for a restart
 	ended       bool      // complete or given up
 	resend      bool      // a sub-request may still be sent
+	lost        bool      // an attempt ended by a broken connection
+	lossRetried bool      // the free retry after that was used
 	gone        int       // refusals because the snapshot or range isn't held
 	reason      wire.Reason
 	doneAt      time.Time
