Guard gaugectl against silent hosts and fuzz release notes

Cause: a host that accepts a connection and stays silent, and notes of any text, had no test; a wait that a signal ended reported the whole timeout as waited. Change: script cases for a silent host and a negative timeout, which is now refused; the time waited is the elapsed one; FuzzNote applies any accepted note and compares the result with the one assembled from its documents.

--- a/internal/operator/hosts.go
+++ b/internal/operator/hosts.go
@@ -93,9 +93,10 @@
 // waitFor polls the member views until every serving host shows the version,
 // and returns these hosts. *NotInForceError names the hosts that don't show it.
 func (s *session) waitFor(ctx context.Context, version uint64, timeout time.Duration) ([]host, error) {
+	start := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	out, warned := &NotInForceError{Version: version, Waited: timeout}, map[string]bool{}
+	out, warned := &NotInForceError{Version: version}, map[string]bool{}
 	for {
 		hosts, failures, err := s.members(ctx)
 		if err == nil {
@@ -110,6 +111,8 @@
 		}
 		select {
 		case <-ctx.Done():
+			// Less than the timeout when a signal ended the wait.
+			out.Waited = min(timeout, time.Since(start).Round(time.Millisecond))
 			return nil, out
 		case <-time.After(pollInterval):
 		}
--- a/internal/operator/options.go
+++ b/internal/operator/options.go
@@ -48,6 +48,9 @@
 	if o.Output == "" {
 		o.Output = outputText
 	}
+	if o.RequestTimeout < 0 {
+		return &UsageError{Message: "request-timeout " + o.RequestTimeout.String() + " is not valid; allowed is 0s (the default) or more"}
+	}
 	if o.RequestTimeout == 0 {
 		o.RequestTimeout = defaultRequestTimeout
 	}
--- a/internal/operator/script_test.go
+++ b/internal/operator/script_test.go
@@ -74,7 +74,8 @@
 
 type fakeReply struct {
 	Status int             `json:"status"`
-	Cut    bool            `json:"cut"` // close the connection without an answer
+	Cut    bool            `json:"cut"`  // close the connection without an answer
+	Hang   bool            `json:"hang"` // keep the connection without an answer
 	Body   json.RawMessage `json:"body"`
 }
 
@@ -89,6 +90,9 @@
 	}
 	reply := replies[min(f.calls[key], len(replies)-1)]
 	f.calls[key]++
+	if reply.Hang {
+		<-r.Context().Done()
+	}
 	if reply.Cut {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/release/release_test.go
+++ b/internal/release/release_test.go
@@ -208,3 +208,33 @@
 	}
 	return string(body)
 }
+
+// Guards against a note that stops a host: any text is refused with an error
+// or makes a configuration that survives its own documents.
+func FuzzNote(f *testing.F) {
+	f.Add([]byte(goodNote))
+	f.Add([]byte(`{"id":"n","searches":{"added":[{"name":"a","service":"b","wait":"latency","deadline":"1s"}]}}`))
+	f.Add([]byte(`{"id":"n","services":{"added":[{"shards":[{"range":{"hi":18446744073709551615}},{"replicas":[{"addr":"[::%1]:1"}]}]}]}}`))
+	f.Add([]byte(`{"services":{"withdrawn":["","",null]},"searches":null}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		n, err := ParseNote("n", body)
+		if err != nil {
+			return
+		}
+		cfg, err := Apply(nil, n)
+		if err != nil {
+			return
+		}
+		m, docs, err := Split(cfg, Manifest{}, NoteRecord{ID: n.ID, Version: cfg.Version})
+		if err != nil {
+			t.Fatal(err)
+		}
+		back, err := Assemble(m, docs)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if changes := Diff(cfg, back); len(changes) != 0 {
+			t.Fatalf("documents of the configuration differ from it: %v", changes)
+		}
+	})
+}
