Grow the admission limit by a quarter query per round trip

Cause: a service of 20 shards has 2 to 4 queries in flight per host; growing by 1 and shrinking by a fifth per round trip balances far above what the slots can take. Change: option Increase, default 0.25; queries admitted before a decrease don't grow the limit. The test of the growth states its Increase of 1 and keeps its bounds.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -111,9 +111,10 @@
 	switch {
 	case long || f.Refused:
 		a.shrink(s)
-	case busy:
-		// One more query per limit's worth of good ones: additive per round trip.
-		s.limit = min(s.limit+1/s.limit, a.options.Ceiling)
+	case busy && time.Since(s.shrunkAt) > s.latency:
+		// Each query adds its share, so that the growth is additive per round
+		// trip. Those that were admitted before a decrease don't count.
+		s.limit = min(s.limit+a.options.Increase/s.limit, a.options.Ceiling)
 	}
 }
 
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -81,7 +81,7 @@
 func TestGrowsAdditivelyOnlyWhenUsed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		a := newAdmission(t, Options{Initial: 10})
+		a := newAdmission(t, Options{Initial: 10, Increase: 1})
 		ok := Feedback{Wait: time.Millisecond, Latency: 5 * time.Millisecond, Goal: 200 * time.Millisecond}
 		for range 100 {
 			release, _ := a.Acquire("mill")
--- a/internal/admit/options.go
+++ b/internal/admit/options.go
@@ -10,6 +10,7 @@
 	defaultInitial    = 32   // queries in flight
 	defaultFloor      = 2    // queries in flight
 	defaultCeiling    = 4096 // queries in flight
+	defaultIncrease   = 0.25 // queries per round trip
 	defaultDecrease   = 0.8  // factor
 	defaultWaitShare  = 0.25 // of the latency goal
 	defaultGoal       = 200 * time.Millisecond
@@ -23,6 +24,10 @@
 	Floor    float64 // least limit, so that a service always gets some queries
 	Ceiling  float64 // greatest limit
 	Decrease float64 // factor by which the limit shrinks
+	// Increase is added to the limit per round trip without a long wait. It is
+	// below what a decrease takes from a small limit, or the limit of a service
+	// with few queries in flight stays too high.
+	Increase float64
 	// WaitShare is the part of the latency goal that a queue wait may take.
 	WaitShare float64
 	// Goal is the latency goal of feedback without one.
@@ -36,6 +41,7 @@
 	setDefault(&o.Floor, defaultFloor)
 	setDefault(&o.Initial, max(defaultInitial, o.Floor))
 	setDefault(&o.Ceiling, max(defaultCeiling, o.Initial))
+	setDefault(&o.Increase, defaultIncrease)
 	setDefault(&o.Decrease, defaultDecrease)
 	setDefault(&o.WaitShare, defaultWaitShare)
 	if o.Goal <= 0 {
