Admit by the moving average of the queue waits

Cause: of 30 shards one often has a long queue for a moment, so single queries called for a decrease at 70 % load already. Change: a decrease needs the moving average of the waits, weight 0.2, above a quarter of the latency goal.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -7,6 +7,10 @@
 	"github.com/uber-go/tally/v4"
 )
 
+// waitWeight is the weight of a new queue wait in the moving average. Of 30
+// shards one often has a long queue for a moment; only lasting ones count.
+const waitWeight = 0.2
+
 // latencyWeight is the weight of a new latency in the moving average.
 const latencyWeight = 0.1
 
@@ -26,6 +30,7 @@
 	limit    float64 // queries
 	inFlight int
 	latency  time.Duration // moving average of admitted queries
+	wait     time.Duration // moving average of the queue waits
 	shrunkAt time.Time
 }
 
@@ -107,11 +112,12 @@
 	if goal <= 0 {
 		goal = a.options.Goal
 	}
-	long := float64(f.Wait) > a.options.WaitShare*float64(goal)
+	s.wait += time.Duration(waitWeight * float64(f.Wait-s.wait))
+	most := time.Duration(a.options.WaitShare * float64(goal))
 	switch {
-	case long || f.Refused:
+	case s.wait > most || f.Refused:
 		a.shrink(s)
-	case busy && time.Since(s.shrunkAt) > s.latency:
+	case busy && f.Wait <= most && time.Since(s.shrunkAt) > s.latency:
 		// Each query adds its share, so that the growth is additive per round
 		// trip. Those that were admitted before a decrease don't count.
 		s.limit = min(s.limit+a.options.Increase/s.limit, a.options.Ceiling)
