Keep the metrics of hosts when an end-to-end spec fails, and fix the order

Cause: a run with a failed spec hung for 4 min because the dump asked a paused host without a time limit, and the order of the specs changed from run to run. Change: hosts are woken first, the dump has a limit, the order has a fixed seed. Conclusion: a failed run can now be explained from its log directory.

--- a/internal/e2e/suite_test.go
+++ b/internal/e2e/suite_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -39,11 +41,14 @@
 var (
 	fleet  *procs.Deployment
 	caller *procs.Caller
+	logDir string
 )
 
 func TestE2E(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "real processes under failure")
+	suite, reporter := GinkgoConfiguration()
+	suite.RandomSeed = 1 // the same order in every run
+	RunSpecs(t, "real processes under failure", suite, reporter)
 }
 
 var _ = BeforeSuite(func() {
@@ -52,14 +57,14 @@
 	build.Dir = rootDir
 	out, err := build.CombinedOutput()
 	Expect(err).NotTo(HaveOccurred(), string(out))
-	dir := os.Getenv("E2E_LOGS")
-	if dir == "" {
-		dir = GinkgoT().TempDir()
+	logDir = os.Getenv("E2E_LOGS")
+	if logDir == "" {
+		logDir = GinkgoT().TempDir()
 	}
 	fleet, err = procs.Start(procs.Options{
 		Programs: bin, Note: filepath.Join(rootDir, "examples/ganna/release-note.hujson"),
 		Settings:    filepath.Join(rootDir, "examples/ganna/badin-1.hujson"),
-		DataCentres: []string{"badin", "thatta", "tando"}, HostsPer: 3, Dir: dir,
+		DataCentres: []string{"badin", "thatta", "tando"}, HostsPer: 3, Dir: logDir,
 		PortOffset: freeOffset(), Delay: 5 * time.Millisecond, DrainWait: drainWait,
 	})
 	Expect(err).NotTo(HaveOccurred())
@@ -90,12 +95,30 @@
 	for _, host := range fleet.Hosts {
 		_ = host.Signal(syscall.SIGCONT) // a host that has ended can't be woken
 	}
+	if CurrentSpecReport().Failed() {
+		dumpMetrics()
+	}
 	setPlatform(map[string]any{})
 	for _, dataCentre := range []string{"badin", "thatta", "tando"} {
 		setFaults(dataCentre, "all", map[string]any{})
 	}
 })
 
+// dumpMetrics writes the metrics of every host to the log directory, so that a
+// failed run can be explained.
+func dumpMetrics() {
+	client := &http.Client{Timeout: time.Second}
+	for _, host := range fleet.HostNames() {
+		response, err := client.Get("http://" + fleet.HTTPAddr(host) + "/metrics")
+		if err != nil {
+			continue
+		}
+		body, _ := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		_ = os.WriteFile(filepath.Join(logDir, host+".metrics"), body, 0o600)
+	}
+}
+
 // noteReply is the reply to a release note.
 type noteReply struct {
 	Status      int    `json:"-"`
