--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -37,6 +37,7 @@
 	most     int
 	cancels  []wire.SubID
 	probes   int
+	misused  int // calls on a connection after an error
 	cut      int // runs that ended because the connection was closed
 }
 
@@ -125,15 +126,25 @@
 	closed    chan struct{}
 	closeOnce sync.Once
 	silent    bool
+	failed    bool // a call returned an error
+}
+
+// begin notes a call; the caller holds the server's mutex.
+func (c *fakeConn) begin() {
+	if c.failed {
+		c.server.misused++
+	}
 }
 
 func (c *fakeConn) lost() error {
+	c.server.set(func(*fakeServer) { c.failed = true })
 	return &backend.LostError{Replica: c.id, Err: syscall.ECONNRESET}
 }
 
 func (c *fakeConn) Run(ctx context.Context, subs []wire.Sub) ([]wire.Reply, error) {
 	s := c.server
 	s.mu.Lock()
+	c.begin()
 	fault, took := s.fault, s.took
 	select {
 	case <-c.closed:
@@ -145,6 +156,7 @@
 		fault = faultUnsent
 	}
 	if fault == faultUnsent {
+		c.failed = true
 		s.mu.Unlock()
 		time.Sleep(took / 4)
 		return nil, &backend.NotSentError{Replica: c.id, Err: syscall.EPIPE}
@@ -199,12 +211,13 @@
 }
 
 func (c *fakeConn) Cancel(_ context.Context, ids []wire.SubID) error {
-	c.server.set(func(s *fakeServer) { s.cancels = append(s.cancels, ids...) })
+	c.server.set(func(s *fakeServer) { c.begin(); s.cancels = append(s.cancels, ids...) })
 	return nil
 }
 
 func (c *fakeConn) Status(ctx context.Context) (backend.Status, error) {
 	c.server.mu.Lock()
+	c.begin()
 	c.server.probes++
 	status, stuck := c.server.status, c.server.frozen || c.silent
 	c.server.mu.Unlock()
--- a/internal/owner/stateful_test.go
+++ b/internal/owner/stateful_test.go
@@ -215,6 +215,9 @@
 	seen := map[wire.ReplicaID]record{}
 	for _, id := range tr.ids {
 		seen[id] = tr.dialer.server(id).seen()
+		if seen[id].misused > 0 {
+			tr.failf("%d calls on failed connections", seen[id].misused)
+		}
 	}
 	for i, sub := range tr.sent {
 		if late := tr.at[sub.ID].Sub(tr.due[i]); late > 0 {
