--- a/internal/owner/bench_test.go
+++ b/internal/owner/bench_test.go
@@ -108,3 +108,26 @@
 		}
 	})
 }
+
+// BenchmarkRefresh measures one look at the replicas that a data centre has at
+// the target size, nearly all of which other hosts own.
+func BenchmarkRefresh(b *testing.B) {
+	const replicas = 8750
+	views := &ownership{foreign: map[wire.ReplicaID]bool{}}
+	var shards [][]wire.ReplicaID
+	for i := range replicas {
+		id := wire.ReplicaID(fmt.Sprintf("127.0.%d.%d:1000", i/250, i%250))
+		views.foreign[id] = true
+		shards = append(shards, []wire.ReplicaID{id})
+	}
+	o, err := New(Options{DataCentre: "badin", Dialer: instantDialer{}, Ownership: views})
+	if err != nil {
+		b.Fatal(err)
+	}
+	o.SetConfig(config(testSlots, shards...))
+	defer func() { _ = o.Stop(context.Background()) }()
+	b.ReportAllocs()
+	for b.Loop() {
+		o.Refresh()
+	}
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -167,6 +167,9 @@
 // forgetVanished drops the vanished replicas without connections. The caller
 // holds configMu.
 func (o *Owner) forgetVanished() {
+	if len(o.known) == len(o.table.Load().replicas) {
+		return
+	}
 	for id, r := range o.known {
 		if r.unused() {
 			delete(o.known, id)
@@ -193,8 +196,9 @@
 // Refresh looks at the ownership and the state of all replicas, as Run does
 // periodically. A host may call it when its view of the members changes.
 func (o *Owner) Refresh() {
+	now := time.Now()
 	for _, r := range o.table.Load().replicas {
-		r.refresh(time.Now())
+		r.refresh(now)
 	}
 	o.configMu.Lock()
 	o.forgetVanished()
--- a/internal/owner/stateful_test.go
+++ b/internal/owner/stateful_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -56,8 +57,10 @@
 func TestStateful(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		steps := rapid.SliceOfN(rapid.Custom(drawStep), 1, 60).Draw(rt, "steps")
+		end := rapid.SampledFrom([]string{"settle", "stop", "abort"}).Draw(rt, "end")
+		drivers := rapid.IntRange(1, 4).Draw(rt, "drivers")
 		var problem string
-		synctest.Test(t, func(t *testing.T) { problem = runTrial(t, steps) })
+		synctest.Test(t, func(t *testing.T) { problem = runTrial(t, steps, end, drivers) })
 		if problem != "" {
 			rt.Fatal(problem)
 		}
@@ -68,27 +71,34 @@
 // that a trial covers the longest one.
 func shortHold(o *Options) { o.Timings.DrainHold = 2 * time.Second }
 
-func runTrial(t *testing.T, steps []step) string {
+// runTrial deals the steps out to concurrent drivers, and then lets the owner
+// settle and recover, stops it at once or aborts it.
+func runTrial(t *testing.T, steps []step, end string, drivers int) string {
 	ids := []wire.ReplicaID{r1, r2, "127.0.0.1:1003"}
 	tr := &trial{bench: newBench(t, config(testSlots, ids), false, shortHold), ids: ids, configured: [3]bool{true, true, true}}
-	for _, s := range steps {
-		tr.take(s)
-		tr.checkFlight()
+	var wait sync.WaitGroup
+	for d := range drivers {
+		wait.Go(func() {
+			for i := d; i < len(steps); i += drivers {
+				tr.take(steps[i])
+			}
+		})
 	}
-	time.Sleep(time.Second) // beyond every deadline and its grace
-	tr.checkFlight()
-	for _, info := range tr.owner.ReplicaStatus("") {
-		if info.Load.InFlight != 0 || info.Load.Queued != 0 {
-			tr.failf("at the end %+v", info)
-		}
+	wait.Wait()
+	if end == "settle" {
+		tr.settle()
+		tr.checkRecovery()
 	}
-	tr.checkRecovery()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	if err := tr.owner.Stop(ctx); err != nil {
-		tr.failf("stop: %v", err)
+	if end != "abort" {
+		if err := tr.owner.Stop(ctx); err != nil {
+			tr.failf("stop: %v", err)
+		}
 	}
 	tr.close()
+	synctest.Wait()
+	tr.checkFlight()
 	tr.checkReplies()
 	for _, id := range ids {
 		if open := tr.dialer.server(id).open(); open != 0 {
@@ -98,6 +108,16 @@
 	return tr.problem
 }
 
+// settle waits beyond every deadline and its grace.
+func (tr *trial) settle() {
+	time.Sleep(time.Second)
+	for _, info := range tr.owner.ReplicaStatus("") {
+		if info.Load.InFlight != 0 || info.Load.Queued != 0 {
+			tr.failf("at the end %+v", info)
+		}
+	}
+}
+
 func (tr *trial) failf(format string, args ...any) {
 	if tr.problem == "" {
 		tr.problem = fmt.Sprintf(format, args...)
@@ -110,6 +130,7 @@
 	switch s.Kind {
 	case "send":
 		var subs []wire.Sub
+		tr.mu.Lock()
 		for i := range s.Count {
 			sub := tr.sub(id, s.Duration+time.Duration(i)*time.Millisecond)
 			sub.Repeatable = s.Flag
@@ -119,12 +140,15 @@
 			tr.sent = append(tr.sent, sub)
 			tr.due = append(tr.due, time.Now().Add(sub.TimeLeft+defaultGrace))
 		}
+		tr.mu.Unlock()
 		tr.owner.Send(subs, tr.done)
 	case "cancel":
 		var ids []wire.SubID
+		tr.mu.Lock()
 		for i := max(0, len(tr.sent)-2*s.Count); i < len(tr.sent); i += 2 {
 			ids = append(ids, tr.sent[i].ID)
 		}
+		tr.mu.Unlock()
 		tr.owner.Cancel(ids)
 	case "wait":
 		time.Sleep(s.Duration)
@@ -139,6 +163,7 @@
 	case "owned":
 		tr.ownership.set(id, s.Flag)
 	case "config":
+		tr.mu.Lock()
 		tr.configured[s.Replica] = s.Flag
 		var kept []wire.ReplicaID
 		for i, ok := range tr.configured {
@@ -146,6 +171,7 @@
 				kept = append(kept, tr.ids[i])
 			}
 		}
+		tr.mu.Unlock()
 		tr.owner.SetConfig(config(testSlots, kept))
 	default:
 		server.set(func(f *fakeServer) { s.change(f) })
