--- a/internal/scatter/attempt.go
+++ b/internal/scatter/attempt.go
@@ -246,7 +246,7 @@
 	}
 	a.ended = true
 	// The latency is at least this; leaving it out would favour fast replies.
-	q.recordLatency(a, now)
+	q.service.latency.record(now.Sub(a.sentAt))
 	if !now.Before(q.deadline) {
 		a.replica.fail(now)
 	}
--- a/internal/scatter/gather.go
+++ b/internal/scatter/gather.go
@@ -79,7 +79,7 @@
 	p := &q.parts[a.part]
 	if reply.Outcome == wire.Answered {
 		q.answered = true
-		q.recordLatency(a, now)
+		q.service.latency.record(now.Sub(a.sentAt))
 		if q.take(p, a, reply) {
 			q.complete(a.part, now)
 			return
--- a/internal/scatter/replica.go
+++ b/internal/scatter/replica.go
@@ -22,12 +22,6 @@
 	penaltyMax  = 2 * time.Second
 	// penaltyHalfLife is the time in which a penalty halves.
 	penaltyHalfLife = 500 * time.Millisecond
-	// latenessWeight is the weight of one sub-request in the lateness.
-	latenessWeight = 0.2
-	// latenessHalfLife is the time in which the lateness halves.
-	latenessHalfLife = 2 * time.Second
-	// slowLateness is the lateness above which a replica is slow.
-	slowLateness = 0.5
 	// assumedService is the service time of a replica without a report.
 	assumedService = 5 * time.Millisecond
 )
@@ -47,9 +41,6 @@
 	sent      uint32 // since the last report
 	penalty   time.Duration
 	penaltyAt time.Time
-	lateness  float64 // moving average of "later than the hedge delay", 0 to 1
-	lateAt    time.Time
-	slow      bool
 }
 
 // fitness says how well a replica suits a sub-request; lower is better.
@@ -82,32 +73,6 @@
 	r.penaltyAt = now
 }
 
-// took records whether a sub-request took longer than the hedge delay, and
-// returns whether most did lately and whether that is new or over.
-func (r *replica) took(now time.Time, elapsed, hedgeDelay time.Duration) (slow, changed bool) {
-	late := 0.0
-	if elapsed > hedgeDelay {
-		late = 1
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	before := r.latenessNow(now)
-	r.lateness = before + latenessWeight*(late-before)
-	r.lateAt = now
-	was := r.slow
-	r.slow = r.lateness > slowLateness
-	return r.slow, r.slow != was
-}
-
-// latenessNow halves with time, because an avoided replica gives no more
-// evidence.
-func (r *replica) latenessNow(now time.Time) float64 {
-	if r.lateness < 0.01 {
-		return r.lateness
-	}
-	return r.lateness * math.Exp2(-float64(now.Sub(r.lateAt))/float64(latenessHalfLife))
-}
-
 // chosen counts a sub-request that the load report doesn't include yet.
 func (r *replica) chosen(now time.Time) {
 	r.mu.Lock()
--- a/internal/scatter/service.go
+++ b/internal/scatter/service.go
@@ -17,9 +17,6 @@
 	// hedgeShare is the share of the budget's gain that hedges may use in
 	// normal running; the rest is for retries and refills the burst.
 	hedgeShare = 0.8
-	// slowShare is the number of replicas per slow one from which on the slow
-	// ones are left out of the latency.
-	slowShare = 4
 )
 
 // statusRetry is the least time between two status requests of a service.
@@ -45,7 +42,6 @@
 	config *release.Service
 	shards []tableShard
 	byID   map[wire.ReplicaID]*replica
-	slow   atomic.Int32 // replicas that are slow
 }
 
 type tableShard struct {
@@ -154,23 +150,6 @@
 	close(wait)
 }
 
-// recordLatency adds a sample to the service's latency. The samples of a few
-// slow replicas are left out, or the hedge delay would grow until their
-// sub-requests are no longer hedged. If many are slow, the service is.
-func (q *query) recordLatency(a *attempt, now time.Time) {
-	elapsed := now.Sub(a.sentAt)
-	slow, changed := a.replica.took(now, elapsed, q.service.hedgeDelay(now, &q.engine.options))
-	if changed && slow {
-		q.table.slow.Add(1)
-	} else if changed {
-		q.table.slow.Add(-1)
-	}
-	if slow && slowShare*float64(q.table.slow.Load()) <= float64(len(q.table.byID)) {
-		return
-	}
-	q.service.latency.record(elapsed)
-}
-
 // hedgeQuantile is chosen so that hedges alone don't use up the budget. At a
 // lower one the burst is spent in normal running and is missing in a fault.
 func (s *service) hedgeQuantile() float64 {
