Let hedges go to a replica that refused before

Cause: after "queue full" at the fast replica the retry waited in the slow one's queue up to 350 ms; the hedge found both replicas tried. Change: a hedge avoids only replicas with a running attempt, and is looked for again after each hedge delay.

--- a/internal/scatter/attempt.go
+++ b/internal/scatter/attempt.go
@@ -35,7 +35,7 @@
 	hedgeAt := now.Add(q.service.hedgeDelay(now, &q.engine.options))
 	for i := range q.parts {
 		p := &q.parts[i]
-		r := q.pick(p, now)
+		r := q.pick(p, p.tried, now)
 		if r == nil || left < shortestTry {
 			q.firsts[i].ended = true
 			q.noReplica(p, now)
@@ -59,9 +59,8 @@
 // begin records that a sub-request of a part goes to a replica.
 func (q *query) begin(p *part, r *replica, seq uint64, now time.Time) wire.Sub {
 	p.outstanding++
-	if r.index < maxTried {
-		p.tried |= 1 << r.index
-	}
+	p.tried |= r.bit()
+	p.running |= r.bit()
 	r.chosen(now)
 	return wire.Sub{
 		ID:         wire.SubID{Host: q.engine.options.Incarnation, Seq: seq},
@@ -117,17 +116,19 @@
 	}
 }
 
-// hedge duplicates an unanswered sub-request on another replica.
+// hedge duplicates an unanswered sub-request on another replica. One that
+// refused before may have room by now, so only the running attempts exclude
+// theirs.
 func (q *query) hedge(i int, now time.Time) {
 	p := &q.parts[i]
 	if !q.repeatable || q.deadline.Sub(now) < shortestTry {
 		return
 	}
-	r := q.pick(p, now)
+	q.schedule(p, now.Add(q.service.hedgeDelay(now, &q.engine.options)))
+	r := q.pick(p, p.running, now)
 	if r == nil {
 		return
 	}
-	q.schedule(p, now.Add(q.service.hedgeDelay(now, &q.engine.options)))
 	if !q.service.budget.take() {
 		q.work.BudgetRefused++
 		return
@@ -143,7 +144,7 @@
 		q.giveUp(p, now)
 		return
 	}
-	r := q.pick(p, now)
+	r := q.pick(p, p.tried, now)
 	if r == nil {
 		q.noReplica(p, now)
 		return
@@ -253,6 +254,7 @@
 	q.cancels = append(q.cancels, wire.SubID{Host: q.engine.options.Incarnation, Seq: seq})
 	q.work.Cancelled++
 	q.parts[index].outstanding--
+	q.parts[index].running &^= a.replica.bit()
 }
 
 // cancelOutstanding withdraws all attempts.
--- a/internal/scatter/gather.go
+++ b/internal/scatter/gather.go
@@ -68,6 +68,7 @@
 		}
 		a.ended = true
 		q.parts[a.part].outstanding--
+		q.parts[a.part].running &^= a.replica.bit()
 		a.replica.observe(now, reply.Held, reply.Load)
 		q.process(a, reply, now)
 	}
@@ -108,7 +109,7 @@
 		p.reason = wire.ReasonSnapshotChanged
 		if a.unpinned {
 			// The same replica may well hold the snapshot that was pinned since.
-			p.tried &^= 1 << a.replica.index
+			p.tried &^= a.replica.bit()
 		}
 		return false
 	}
--- a/internal/scatter/pick.go
+++ b/internal/scatter/pick.go
@@ -7,8 +7,8 @@
 
 // pick chooses a replica for an attempt of a part: of two random candidates
 // of the best fitness the one with the smaller score. It returns nil if no
-// untried replica is usable.
-func (q *query) pick(p *part, now time.Time) *replica {
+// replica outside the excluded ones is usable.
+func (q *query) pick(p *part, exclude uint64, now time.Time) *replica {
 	var (
 		best  = fitNone
 		seen  uint64
@@ -17,7 +17,7 @@
 		costs [2]time.Duration
 	)
 	for _, r := range p.shard.replicas {
-		if p.tried&(1<<r.index) != 0 {
+		if exclude&(1<<r.index) != 0 {
 			continue
 		}
 		fit, score := r.judge(now, q.snapshot)
--- a/internal/scatter/plan.go
+++ b/internal/scatter/plan.go
@@ -16,7 +16,8 @@
 	got  wire.RangeSet
 	rows []wire.Row
 
-	tried       uint64 // bit per replica of the shard
+	tried       uint64 // bit per replica of the shard, in this round of tries
+	running     uint64 // bit per replica with an outstanding attempt
 	outstanding int
 	rounds      int       // times that all replicas were tried
 	nextAt      time.Time // when to hedge or retry; zero means never
--- a/internal/scatter/replica.go
+++ b/internal/scatter/replica.go
@@ -43,6 +43,14 @@
 	penaltyAt time.Time
 }
 
+// bit returns the replica's bit in a part's sets; 0 if it has none.
+func (r *replica) bit() uint64 {
+	if r.index >= maxTried {
+		return 0
+	}
+	return 1 << r.index
+}
+
 // fitness says how well a replica suits a sub-request; lower is better.
 type fitness uint8
 
