Lower the floor of the admission limit to one query

Cause: 9 hosts with a floor of 2 keep 18 queries in flight, which is the whole queue of the fast replica when the other one of a shard is slow. Change: default floor 1. Conclusion: kept; a service still always gets one query per host.

--- a/internal/admit/options.go
+++ b/internal/admit/options.go
@@ -8,7 +8,7 @@
 
 const (
 	defaultInitial    = 32   // queries in flight
-	defaultFloor      = 2    // queries in flight
+	defaultFloor      = 1    // queries in flight
 	defaultCeiling    = 4096 // queries in flight
 	defaultIncrease   = 0.25 // queries per round trip
 	defaultDecrease   = 0.8  // factor
