Count the whole query against the admission limit

Cause: a limit of 1.2 admitted 2 queries, which at 9 hosts is up to 9 queries too many for 4 slots per shard. Change: a query is admitted if it fits under the limit, not if the limit isn't reached.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -53,7 +53,7 @@
 func (a *Admission) Acquire(name string) (Release, error) {
 	s := a.service(name)
 	s.mu.Lock()
-	if float64(s.inFlight) >= s.limit {
+	if float64(s.inFlight+1) > s.limit {
 		err := &OverloadedError{Service: name, RetryAfter: s.retryAfter()}
 		s.mu.Unlock()
 		a.refused.Inc(1)
