--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -31,7 +31,7 @@
 	inFlight int
 	latency  time.Duration // moving average of admitted queries
 	wait     time.Duration // moving average of the queue waits
-	shrunkAt time.Time
+	shrunkAt time.Time     // zero until the first decrease
 }
 
 // New returns an admission control, or a *OptionError.
@@ -120,10 +120,20 @@
 	case busy && f.Wait <= most && time.Since(s.shrunkAt) > s.latency:
 		// Each query adds its share, so that the growth is additive per round
 		// trip. Those that were admitted before a decrease don't count.
-		s.limit = min(s.limit+a.options.Increase/s.limit, a.options.Ceiling)
+		s.limit = min(s.limit+a.step(s), a.options.Ceiling)
 	}
 }
 
+// step is the share of one good query in the growth. A new service grows by
+// one per query, so that its limit doubles per round trip, until its first
+// decrease.
+func (a *Admission) step(s *service) float64 {
+	if s.shrunkAt.IsZero() {
+		return 1
+	}
+	return a.options.Increase / s.limit
+}
+
 // shrink lowers the limit at most once per round trip, because the queries in
 // flight were admitted under the old limit and report the same overload.
 func (a *Admission) shrink(s *service) {
--- a/internal/admit/options.go
+++ b/internal/admit/options.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	defaultInitial    = 32   // queries in flight
+	defaultInitial    = 4    // queries in flight
 	defaultFloor      = 1    // queries in flight
 	defaultCeiling    = 4096 // queries in flight
 	defaultIncrease   = 0.25 // queries per round trip
