Try a refused shard until the deadline when others were answered

Cause: with a lost replica a shard was left out after 4 rounds of refusals, about 70 ms, although the search waits for coverage until its deadline of 500 ms. Change: the number of rounds is bounded only while nothing of the query was answered, so that an overloaded service still refuses early.

--- a/internal/scatter/attempt.go
+++ b/internal/scatter/attempt.go
@@ -9,8 +9,11 @@
 const (
 	// shortestTry is the least time left with which a sub-request is sent.
 	shortestTry = time.Millisecond
-	// maxRounds bounds how often all replicas of a shard are tried.
-	maxRounds = 4
+	// refusedRounds is how often all replicas of a shard may refuse before a
+	// query is given up of which nothing was answered.
+	refusedRounds = 4
+	// maxPauseDoublings bounds the pause between two rounds.
+	maxPauseDoublings = 3
 	// budgetPause is the time after which a retry asks the budget again.
 	budgetPause = 10 * time.Millisecond
 )
@@ -193,11 +196,14 @@
 // or the range; trying the same ones again is useless.
 func (p *part) isGone() bool { return p.gone > 0 || p.reason == wire.ReasonSnapshotGone }
 
-// nextRound tries all replicas of a part again after a pause.
+// nextRound tries all replicas of a part again after a pause. If other parts
+// were answered, this goes on until the deadline, because one shard would
+// spoil the whole answer.
 func (q *query) nextRound(p *part, now time.Time) {
 	p.rounds++
-	pause := q.engine.options.RetryBackoff << min(p.rounds-1, maxRounds)
-	if p.isGone() || !p.resend || p.rounds >= maxRounds || now.Add(pause+shortestTry).After(q.deadline) {
+	pause := q.engine.options.RetryBackoff << min(p.rounds-1, maxPauseDoublings)
+	hopeless := p.rounds >= refusedRounds && !q.answered
+	if p.isGone() || !p.resend || hopeless || now.Add(pause+shortestTry).After(q.deadline) {
 		q.giveUp(p, now)
 		return
 	}
