Give hosts without a configuration no replicas

Cause: in the rolling-stop spec owners refused up to 33 sub-requests a host as unknown_replica: a restarted host was live, and so an owner, before it had a configuration, and each refusal cost a retry from the budget. The refusals with 429 came from admission at a load average of 20, with 13 of 1,700 refused. Change: the first configuration of a host spreads as a member event; ownership goes to live hosts that have one. TestHostWithoutConfigurationOwnsNothing fails without the ConfigVersion condition in newHostSets. Conclusion: a joining host costs its peers no refusals.

--- a/internal/member/agent.go
+++ b/internal/member/agent.go
@@ -97,11 +97,16 @@
 }
 
 // SetConfigVersion states the version that this host has adopted; a lower
-// version than before is ignored.
+// version than before is ignored. The first one is spread as an event, because
+// a host without a configuration owns no replicas.
 func (a *Agent) SetConfigVersion(version uint64) {
 	a.mu.Lock()
 	defer a.unlock()
 	if version > a.self.ConfigVersion {
+		if a.self.ConfigVersion == 0 {
+			a.self.Counter++
+			defer func() { a.queue.addMember(eventOf(a.self)) }()
+		}
 		a.self.ConfigVersion = version
 		a.dirty = true
 	}
--- a/internal/route/placement.go
+++ b/internal/route/placement.go
@@ -71,25 +71,26 @@
 	owners map[unit]int
 }
 
-// newHostSets groups the hosts of a view by data centre. A data centre falls
-// back to its suspect hosts when it has no live one.
+// newHostSets groups the hosts of a view by data centre. A data centre without
+// a live host that has a configuration falls back to the others: those without
+// one refuse every sub-request, and suspect ones may be gone.
 func newHostSets(view *member.View) map[string]*hostSet {
-	live := map[string]*hostSet{}
-	suspect := map[string]*hostSet{}
+	able := map[string]*hostSet{}
+	others := map[string]*hostSet{}
 	for _, host := range view.Hosts {
-		switch host.State {
-		case member.Live:
-			addHost(live, host)
-		case member.Suspect:
-			addHost(suspect, host)
+		switch {
+		case host.State == member.Live && host.ConfigVersion > 0:
+			addHost(able, host)
+		case host.State == member.Live || host.State == member.Suspect:
+			addHost(others, host)
 		}
 	}
-	for dataCentre, set := range suspect {
-		if live[dataCentre] == nil {
-			live[dataCentre] = set
+	for dataCentre, set := range others {
+		if able[dataCentre] == nil {
+			able[dataCentre] = set
 		}
 	}
-	return live
+	return able
 }
 
 func addHost(sets map[string]*hostSet, host member.Host) {
