Use the usual name for the owner's test harness

Cause: the test type was named bench next to Go benchmarks, and a parameter of setLeaving was unused. Change: renamed to harness; parameter removed; one comment worded plainly. Conclusion: no change of behaviour.

--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -260,8 +260,8 @@
 	o.foreign[id] = !owned
 }
 
-// bench is an owner with fake servers in one bubble.
-type bench struct {
+// harness is an owner with fake servers in one bubble.
+type harness struct {
 	t         *testing.T
 	owner     *Owner
 	dialer    *fakeDialer
@@ -290,9 +290,9 @@
 	return &release.Config{Version: 1, Services: map[string]*release.Service{service.Name: service}}
 }
 
-// newBench starts an owner; settle waits until the overlap is over.
-func newBench(t *testing.T, cfg *release.Config, settle bool, change ...func(*Options)) *bench {
-	b := &bench{
+// newHarness starts an owner; settle waits until the overlap is over.
+func newHarness(t *testing.T, cfg *release.Config, settle bool, change ...func(*Options)) *harness {
+	b := &harness{
 		t: t, dialer: &fakeDialer{}, ownership: &ownership{}, leaving: map[wire.ReplicaID]bool{},
 		replies: map[wire.SubID][]wire.Reply{}, at: map[wire.SubID]time.Time{}, stopped: make(chan struct{}),
 	}
@@ -318,12 +318,12 @@
 	return b
 }
 
-func (b *bench) close() {
+func (b *harness) close() {
 	b.stop()
 	<-b.stopped
 }
 
-func (b *bench) done(replies []wire.Reply) {
+func (b *harness) done(replies []wire.Reply) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, r := range replies {
@@ -332,7 +332,7 @@
 	}
 }
 
-func (b *bench) sub(id wire.ReplicaID, left time.Duration) wire.Sub {
+func (b *harness) sub(id wire.ReplicaID, left time.Duration) wire.Sub {
 	b.next++
 	return wire.Sub{
 		ID: wire.SubID{Host: 7, Seq: b.next}, Service: "mill-dispatch", Search: "rota", Replica: id,
@@ -341,7 +341,7 @@
 }
 
 // send sends n sub-requests and returns their ids.
-func (b *bench) send(id wire.ReplicaID, left time.Duration, n int) []wire.SubID {
+func (b *harness) send(id wire.ReplicaID, left time.Duration, n int) []wire.SubID {
 	var subs []wire.Sub
 	var ids []wire.SubID
 	for range n {
@@ -353,7 +353,7 @@
 }
 
 // reply returns the one reply to an id; the zero reply if there is none yet.
-func (b *bench) reply(id wire.SubID) wire.Reply {
+func (b *harness) reply(id wire.SubID) wire.Reply {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.replies[id]) > 1 {
@@ -365,7 +365,7 @@
 	return b.replies[id][0]
 }
 
-func (b *bench) info(id wire.ReplicaID) ReplicaInfo {
+func (b *harness) info(id wire.ReplicaID) ReplicaInfo {
 	for _, info := range b.owner.ReplicaStatus("") {
 		if info.Replica == id {
 			return info
--- a/internal/owner/health.go
+++ b/internal/owner/health.go
@@ -98,7 +98,7 @@
 		r.answered(now.Sub(c.started))
 	case reply.Outcome != wire.Unknown || !mine || c.silent:
 	case err != nil || reply.Reason == wire.ReasonServerError:
-		// A server that says that it stopped at the deadline is well.
+		// A server that states that it stopped at the deadline is healthy.
 		r.failed(now, fx)
 	}
 }
@@ -175,7 +175,7 @@
 	r.drained("reply", fx)
 }
 
-func (r *replica) setLeaving(leaving bool, _ time.Time, fx *effects) {
+func (r *replica) setLeaving(leaving bool, fx *effects) {
 	if leaving == r.health.leaving {
 		return
 	}
--- a/internal/owner/health_test.go
+++ b/internal/owner/health_test.go
@@ -13,7 +13,7 @@
 // Guards against a connection that stays in use after it went silent, and
 // against an ejection because of it.
 func TestSilentConnectionIsReplaced(t *testing.T) {
-	bubble(t, func(g *WithT, b *bench) {
+	bubble(t, func(g *WithT, b *harness) {
 		s := b.dialer.server(r1)
 		s.set(func(s *fakeServer) { s.took = 5 * time.Millisecond; s.silent = 1 })
 		stuck := b.send(r1, 10*time.Second, 1)[0]
@@ -34,7 +34,7 @@
 // Guards against idle connections that went silent and are found only by a
 // sub-request.
 func TestIdleConnectionsAreProbed(t *testing.T) {
-	bubble(t, func(g *WithT, b *bench) {
+	bubble(t, func(g *WithT, b *harness) {
 		s := b.dialer.server(r1)
 		s.set(func(s *fakeServer) {
 			for c := range s.conns {
@@ -55,7 +55,7 @@
 // Guards against an ejection of the last replica or of more than half, against
 // one that never ends, and against full load right after it.
 func TestEjection(t *testing.T) {
-	bubble(t, func(g *WithT, b *bench) {
+	bubble(t, func(g *WithT, b *harness) {
 		fail := func(id wire.ReplicaID, n int) {
 			for range n {
 				b.send(id, time.Second, 1)
@@ -90,7 +90,7 @@
 // Guards against an ejection because the caller's deadlines are short or
 // because callers cancel.
 func TestCancelledAndRefusedAreNoFailures(t *testing.T) {
-	bubble(t, func(g *WithT, b *bench) {
+	bubble(t, func(g *WithT, b *harness) {
 		b.dialer.server(r1).set(func(s *fakeServer) { s.fault = faultShed })
 		for range 10 {
 			b.send(r1, time.Second, 1)
@@ -110,21 +110,21 @@
 // Guards against new work for a draining server, whichever way the owner
 // learns of it, and against a server that stays out after its restart.
 func TestDraining(t *testing.T) {
-	refuses := func(g *WithT, b *bench, reason wire.Reason) {
+	refuses := func(g *WithT, b *harness, reason wire.Reason) {
 		id := b.send(r1, time.Second, 1)[0]
 		synctest.Wait()
 		g.Expect(b.reply(id)).To(And(HaveField("Outcome", wire.NotRun), HaveField("Reason", reason)))
 		g.Expect(b.info(r1).Load.State).To(Equal(wire.ReplicaDraining))
 		g.Expect(b.dialer.server(r1).seen().sent).NotTo(HaveKey(id))
 	}
-	takes := func(g *WithT, b *bench) {
+	takes := func(g *WithT, b *harness) {
 		id := b.send(r1, time.Second, 1)[0]
 		time.Sleep(10 * time.Millisecond)
 		g.Expect(b.reply(id).Outcome).To(Equal(wire.Answered))
 		g.Expect(b.info(r1).Load).To(HaveField("Slots", uint32(1)), "slow start")
 	}
 	t.Run("status", func(t *testing.T) {
-		bubble(t, func(g *WithT, b *bench) {
+		bubble(t, func(g *WithT, b *harness) {
 			s := b.dialer.server(r1)
 			s.set(func(s *fakeServer) { s.status.Draining = true })
 			time.Sleep(1100 * time.Millisecond)
@@ -135,7 +135,7 @@
 		})
 	})
 	t.Run("host list", func(t *testing.T) {
-		bubble(t, func(g *WithT, b *bench) {
+		bubble(t, func(g *WithT, b *harness) {
 			b.mu.Lock()
 			b.leaving[r1] = true
 			b.mu.Unlock()
@@ -144,7 +144,7 @@
 		})
 	})
 	t.Run("reply with a lying status", func(t *testing.T) {
-		bubble(t, func(g *WithT, b *bench) {
+		bubble(t, func(g *WithT, b *harness) {
 			s := b.dialer.server(r1)
 			s.set(func(s *fakeServer) { s.fault = faultDraining })
 			queued := b.send(r1, time.Second, 5)
@@ -164,7 +164,7 @@
 		})
 	})
 	t.Run("refused connection", func(t *testing.T) {
-		bubble(t, func(g *WithT, b *bench) {
+		bubble(t, func(g *WithT, b *harness) {
 			s := b.dialer.server(r1)
 			s.set(func(s *fakeServer) { s.refuse = true })
 			s.crash()
@@ -181,7 +181,7 @@
 func TestSlowStartWhenCold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		b := newBench(t, config(4, []wire.ReplicaID{r1, r2}), true)
+		b := newHarness(t, config(4, []wire.ReplicaID{r1, r2}), true)
 		defer b.close()
 		s := b.dialer.server(r1)
 		s.set(func(s *fakeServer) { s.status.Cold = true })
@@ -201,7 +201,7 @@
 func TestOwnerChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		b := newBench(t, config(4, []wire.ReplicaID{r1, r2}), false)
+		b := newHarness(t, config(4, []wire.ReplicaID{r1, r2}), false)
 		defer b.close()
 		time.Sleep(1900 * time.Millisecond)
 		g.Expect(b.info(r1).Load.Slots).To(BeEquivalentTo(2), "new owner")
@@ -235,7 +235,7 @@
 		g := NewWithT(t)
 		cfg := config(8, []wire.ReplicaID{r1})
 		cfg.Services["mill-dispatch"].Connections = 7
-		b := newBench(t, cfg, true)
+		b := newHarness(t, cfg, true)
 		defer b.close()
 		b.send(r1, time.Second, 20)
 		time.Sleep(100 * time.Millisecond)
@@ -247,7 +247,7 @@
 // Guards against work that a withdrawn service cuts off or still accepts, and
 // against a double in-flight count when the replica returns.
 func TestWithdrawnReplica(t *testing.T) {
-	bubble(t, func(g *WithT, b *bench) {
+	bubble(t, func(g *WithT, b *harness) {
 		s := b.dialer.server(r1)
 		s.set(func(s *fakeServer) { s.took = 100 * time.Millisecond })
 		ids := b.send(r1, time.Second, 3)
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -32,9 +32,9 @@
 
 // bubble runs a test in virtual time with an owner of r1 and r2, two replicas
 // of one shard.
-func bubble(t *testing.T, f func(g *WithT, b *bench)) {
+func bubble(t *testing.T, f func(g *WithT, b *harness)) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, config(testSlots, []wire.ReplicaID{r1, r2}), true)
+		b := newHarness(t, config(testSlots, []wire.ReplicaID{r1, r2}), true)
 		defer b.close()
 		f(NewWithT(t), b)
 	})
@@ -43,7 +43,7 @@
 // Guards against work beyond the slots and against a queue in another order
 // than by deadline.
 func TestSlotsAndDeadlineOrder(t *testing.T) {
-	bubble(t, func(g *WithT, b *bench) {
+	bubble(t, func(g *WithT, b *harness) {
 		s := b.dialer.server(r1)
 		s.set(func(s *fakeServer) { s.took = 10 * time.Millisecond })
 		first := b.send(r1, time.Second, 2)
@@ -63,7 +63,7 @@
 // Guards against a queue without bound, against waiting in vain and against
 // expired entries that are sent.
 func TestEarlyRefusalAndExpiry(t *testing.T) {
-	bubble(t, func(g *WithT, b *bench) {
+	bubble(t, func(g *WithT, b *harness) {
 		s := b.dialer.server(r1)
 		s.set(func(s *fakeServer) { s.took = 100 * time.Millisecond })
 		b.send(r1, time.Second, 2)
@@ -89,7 +89,7 @@
 // Guards against a cancelled entry that runs, and against a slot that is given
 // away while the server still works for a cancelled one.
 func TestCancel(t *testing.T) {
-	bubble(t, func(g *WithT, b *bench) {
+	bubble(t, func(g *WithT, b *harness) {
 		s := b.dialer.server(r1)
 		s.set(func(s *fakeServer) { s.took = 100 * time.Millisecond })
 		running := b.send(r1, time.Second, 2)
@@ -128,7 +128,7 @@
 		{faultMismatch, wire.Unknown, wire.ReasonConnLost},
 	}
 	for _, c := range cases {
-		bubble(t, func(g *WithT, b *bench) {
+		bubble(t, func(g *WithT, b *harness) {
 			s := b.dialer.server(r1)
 			s.set(func(s *fakeServer) { s.fault = c.fault })
 			id := b.send(r1, time.Second, 1)[0]
@@ -144,7 +144,7 @@
 // Guards against a refusal that a dead idle connection causes although another
 // one works.
 func TestUnsentGoesToAnotherConnection(t *testing.T) {
-	bubble(t, func(g *WithT, b *bench) {
+	bubble(t, func(g *WithT, b *harness) {
 		s := b.dialer.server(r1)
 		s.set(func(s *fakeServer) { s.unsent = 2 })
 		id := b.send(r1, time.Second, 1)[0]
@@ -156,7 +156,7 @@
 
 // Guards against a slot that leaks when the server never answers.
 func TestDeadlineFreesSlot(t *testing.T) {
-	bubble(t, func(g *WithT, b *bench) {
+	bubble(t, func(g *WithT, b *harness) {
 		s := b.dialer.server(r1)
 		s.set(func(s *fakeServer) { s.silent = 2 })
 		ids := b.send(r1, 100*time.Millisecond, 2)
@@ -172,7 +172,7 @@
 
 // Guards against a stop that cuts off accepted work or takes new work.
 func TestStopFinishesAcceptedWork(t *testing.T) {
-	bubble(t, func(g *WithT, b *bench) {
+	bubble(t, func(g *WithT, b *harness) {
 		s := b.dialer.server(r1)
 		s.set(func(s *fakeServer) { s.took = 100 * time.Millisecond })
 		ids := b.send(r1, time.Second, 6)
@@ -192,7 +192,7 @@
 // Guards against a stop that closes a connection on which the server still
 // works for a cancelled sub-request.
 func TestStopWaitsForCancelled(t *testing.T) {
-	bubble(t, func(g *WithT, b *bench) {
+	bubble(t, func(g *WithT, b *harness) {
 		s := b.dialer.server(r1)
 		s.set(func(s *fakeServer) { s.took = 100 * time.Millisecond })
 		ids := b.send(r1, time.Second, 1)
@@ -206,7 +206,7 @@
 
 // Guards against a stop that waits beyond its time.
 func TestStopReportsCutOff(t *testing.T) {
-	bubble(t, func(g *WithT, b *bench) {
+	bubble(t, func(g *WithT, b *harness) {
 		b.dialer.server(r1).set(func(s *fakeServer) { s.silent = 1 })
 		id := b.send(r1, time.Minute, 1)[0]
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/internal/owner/replica.go
+++ b/internal/owner/replica.go
@@ -320,7 +320,7 @@
 	r.mu.Lock()
 	if !r.vanished && !r.closed {
 		r.setOwned(owned, now)
-		r.setLeaving(leaving, now, &fx)
+		r.setLeaving(leaving, &fx)
 		r.fill(now)
 		if !r.owned && r.inFlight == 0 && now.Sub(r.lastUse) > r.owner.options.Timings.IdleClose {
 			r.trim()
--- a/internal/owner/stateful_test.go
+++ b/internal/owner/stateful_test.go
@@ -42,7 +42,7 @@
 
 // trial is one run of the stateful test.
 type trial struct {
-	*bench
+	*harness
 	ids        []wire.ReplicaID
 	sent       []wire.Sub
 	due        []time.Time // latest moment of the reply
@@ -75,7 +75,7 @@
 // settle and recover, stops it at once or aborts it.
 func runTrial(t *testing.T, steps []step, end string, drivers int) string {
 	ids := []wire.ReplicaID{r1, r2, "127.0.0.1:1003"}
-	tr := &trial{bench: newBench(t, config(testSlots, ids), false, shortHold), ids: ids, configured: [3]bool{true, true, true}}
+	tr := &trial{harness: newHarness(t, config(testSlots, ids), false, shortHold), ids: ids, configured: [3]bool{true, true, true}}
 	var wait sync.WaitGroup
 	for d := range drivers {
 		wait.Go(func() {
