--- a/internal/e2e/config_test.go
+++ b/internal/e2e/config_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"context"
 	"sync"
 	"syscall"
 	"time"
@@ -92,11 +93,27 @@
 		setPlatform(map[string]any{})
 	})
 
-	It("never reverts when the platform comes back without its content", func() {
-		version := versionAt("badin-1")
+	It("never reverts when the platform comes back empty, or with an older configuration", func() {
+		var older struct {
+			Value []byte `json:"value"`
+		}
+		Expect(caller.Get(context.Background(), fleet.PlatformAddr(), "/v1/kv/config/manifest", &older)).To(Succeed())
+		version := versionAt("badin-1") + 1
+		Expect(applyNote(goalNote("before-loss", version-1, 64*time.Millisecond)).Applied).To(BeTrue())
+		inForceEverywhere(version)
 		fleet.Platform.Kill()
 		Expect(fleet.RestartPlatform()).To(Succeed())
-		Consistently(func() uint64 { return versionAt("badin-1") }, "2s", "100ms").Should(BeNumerically(">=", version))
+		stays := func() {
+			GinkgoHelper()
+			Consistently(func() uint64 { return versionAt("badin-1") }, "1500ms", "100ms").Should(Equal(version))
+			for _, host := range fleet.HostNames() {
+				Expect(versionAt(host)).To(Equal(version), host)
+			}
+		}
+		stays()
+		restored := map[string]any{"value": older.Value, "revision": 0}
+		Expect(caller.Put(context.Background(), fleet.PlatformAddr(), "/v1/kv/config/manifest", restored)).To(Succeed())
+		stays()
 		Expect(rota(fleet.HTTPAddr("badin-1")).Answered()).To(BeTrue())
 	})
 })
--- /dev/null
+++ b/internal/peer/peerpb/doc.go
@@ -0,0 +1,3 @@
+// Package peerpb holds the generated messages and calls of the protocol
+// between entry hosts.
+package peerpb
