End the fast growth of admission when queues form

Cause: doubling until the first decrease filled the queues of a new service, and the refusals cost retries: extra load without fault was above 3 % at 70 % load. Change: the fast growth also ends when the average wait passes a quarter of the longest allowed one.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -11,6 +11,10 @@
 // shards one often has a long queue for a moment; only lasting ones count.
 const waitWeight = 0.2
 
+// fastWaitShare is the longest allowed wait ÷ the wait that ends the fast
+// growth of a new service.
+const fastWaitShare = 4
+
 // latencyWeight is the weight of a new latency in the moving average.
 const latencyWeight = 0.1
 
@@ -31,6 +35,7 @@
 	inFlight int
 	latency  time.Duration // moving average of admitted queries
 	wait     time.Duration // moving average of the queue waits
+	steady   bool          // no longer grows fast
 	shrunkAt time.Time     // zero until the first decrease
 }
 
@@ -120,15 +125,17 @@
 	case busy && f.Wait <= most && time.Since(s.shrunkAt) > s.latency:
 		// Each query adds its share, so that the growth is additive per round
 		// trip. Those that were admitted before a decrease don't count.
-		s.limit = min(s.limit+a.step(s), a.options.Ceiling)
+		s.limit = min(s.limit+a.step(s, most), a.options.Ceiling)
 	}
 }
 
 // step is the share of one good query in the growth. A new service grows by
 // one per query, so that its limit doubles per round trip, until its first
-// decrease.
-func (a *Admission) step(s *service) float64 {
-	if s.shrunkAt.IsZero() {
+// decrease or until queues form: the queries that are admitted until a long
+// wait is seen would fill them.
+func (a *Admission) step(s *service, most time.Duration) float64 {
+	s.steady = s.steady || !s.shrunkAt.IsZero() || s.wait > most/fastWaitShare
+	if !s.steady {
 		return 1
 	}
 	return a.options.Increase / s.limit
