Check the goals in go test and measure the hot path

Cause: a change of a policy must not lose a goal unseen. Change: TestGoals runs 6 cases of ganna with bounds from the goals; BenchmarkRun over a Sender that answers at once.

--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -115,3 +115,31 @@
 	}
 	t.Logf("%d cases in %v on %d cores", len(cases), time.Since(began).Round(time.Second), runtime.GOMAXPROCS(0))
 }
+
+// Guards the goals of the design against changes of the policies. The bounds
+// are the goals themselves, not measured figures.
+func TestGoals(t *testing.T) {
+	var cases []Case
+	for _, c := range []struct {
+		load    float64
+		fault   Fault
+		measure time.Duration
+	}{
+		{normalLoad, FaultNone, 2 * measure},
+		{normalLoad, FaultSlow, 2 * measure},
+		{saturation, FaultNone, measure},
+		{overload, FaultNone, measure},
+		{0.3, FaultLost, measure / 2},
+		{0.3, FaultHost, measure / 2},
+	} {
+		cases = append(cases, Case{
+			Deployment: Ganna(), Policy: PolicyDesign, Load: c.load, Fault: c.fault,
+			Seed: 1, Warm: warm, Measure: c.measure,
+		})
+	}
+	for _, check := range Goals([]Deployment{Ganna()}, runAll(t, cases)) {
+		if !check.Met {
+			t.Error(check)
+		}
+	}
+}
--- /dev/null
+++ b/internal/scatter/bench_test.go
@@ -0,0 +1,40 @@
+package scatter
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/wire"
+)
+
+// immediate answers within Send.
+type immediate struct{}
+
+func (immediate) Send(subs []wire.Sub, done func([]wire.Reply)) {
+	replies := make([]wire.Reply, len(subs))
+	for i, sub := range subs {
+		replies[i] = wire.Reply{
+			ID: sub.ID, Replica: sub.Replica, Outcome: wire.Answered, Snapshot: 42, Range: sub.Range,
+			Held: wire.Held{Oldest: 40, Newest: 42}, Load: wire.Load{Slots: 2, Service: 4000000},
+		}
+	}
+	done(replies)
+}
+
+func (immediate) Cancel([]wire.SubID) {}
+
+func BenchmarkRun(b *testing.B) {
+	for _, shards := range []int{20, 840} {
+		b.Run(fmt.Sprintf("shards=%d", shards), func(b *testing.B) {
+			e := testEngine(b, immediate{}, nil)
+			query := rota(testConfig(shards, 2))
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := e.Run(b.Context(), query); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*shards), "ns/sub")
+		})
+	}
+}
