--- a/internal/front/observe.go
+++ b/internal/front/observe.go
@@ -29,7 +29,6 @@
 }
 
 func newMetrics(scope tally.Scope) *metrics {
-	scope = scope.SubScope("front")
 	return &metrics{
 		scope:   scope,
 		open:    scope.Gauge("open_requests"),
--- a/internal/front/options.go
+++ b/internal/front/options.go
@@ -20,6 +20,8 @@
 	DefaultStopTimeout = 30 * time.Second
 	// DefaultBodyLimit bounds the body of a caller's request, in bytes.
 	DefaultBodyLimit = 1 << 20
+	// DefaultOpenLimit bounds the requests served at a time.
+	DefaultOpenLimit = 20000
 	// DefaultNoteLimit bounds a release note, in bytes.
 	DefaultNoteLimit = 64 << 20
 	// DefaultReadTimeout bounds the reading of one request.
@@ -60,6 +62,7 @@
 	StopTimeout     time.Duration // after DrainWait, when Run's context ends
 	BodyLimit       int64         // bytes
 	NoteLimit       int64         // bytes
+	OpenLimit       int64         // open requests above which searches are refused
 	ReadTimeout     time.Duration
 	WriteTimeout    time.Duration
 	IdleTimeout     time.Duration
@@ -92,6 +95,9 @@
 	if o.NoteLimit == 0 {
 		o.NoteLimit = DefaultNoteLimit
 	}
+	if o.OpenLimit == 0 {
+		o.OpenLimit = DefaultOpenLimit
+	}
 	return o
 }
 
@@ -127,6 +133,7 @@
 		{int64(o.StopTimeout), "StopTimeout"},
 		{o.BodyLimit, "BodyLimit"},
 		{o.NoteLimit, "NoteLimit"},
+		{o.OpenLimit, "OpenLimit"},
 		{int64(o.ReadTimeout), "ReadTimeout"},
 		{int64(o.WriteTimeout), "WriteTimeout"},
 		{int64(o.IdleTimeout), "IdleTimeout"},
--- a/internal/front/search.go
+++ b/internal/front/search.go
@@ -114,6 +114,12 @@
 	if s.refusing.Load() {
 		return nil, notRun(r.id, CodeStopping, "host is stopping")
 	}
+	if open := s.open.Load(); open > s.opts.OpenLimit {
+		return nil, fail(r.id, &SearchError{
+			Code: CodeOverloaded, Outcome: wire.NotRun, RetryAfter: fullRetryAfter,
+			Message: fmt.Sprintf("host serves %d requests at a time", s.opts.OpenLimit),
+		})
+	}
 	cfg := s.opts.Configs.Current()
 	if cfg == nil {
 		return nil, notRun(r.id, CodeNoConfiguration, "host has no configuration yet")
--- a/internal/front/ticketed.go
+++ b/internal/front/ticketed.go
@@ -72,8 +72,8 @@
 	}
 }
 
-// fullRetryAfter is sent when the ticket registry is full; room returns as
-// kept answers reach the end of their retention.
+// fullRetryAfter is sent when the ticket registry is full or too many requests
+// are open.
 const fullRetryAfter = time.Second
 
 // forward sends a ticketed request to the host that issued the ticket. Only
--- a/internal/front/ticketed_test.go
+++ b/internal/front/ticketed_test.go
@@ -73,6 +73,23 @@
 	Expect(call(s, "POST", bookPath, booking(ticket)).Status).To(Equal(200))
 }
 
+// Searches above the limit of open requests must be refused before they run,
+// but a repeated one must still get its stored answer.
+func TestOpenRequestsAreBounded(t *testing.T) {
+	RegisterTestingT(t)
+	s, f, _ := newFrontOf(hostA, nothing, func(o *front.Options) { o.OpenLimit = 1 })
+	ticket, fresh := issue(s), issue(s)
+	Expect(call(s, "POST", bookPath, booking(ticket)).Status).To(Equal(200))
+	f.run = func(context.Context, front.Search) (*front.Answer, error) {
+		Expect(call(s, "POST", findPath, ``).Error).To(Equal("overloaded"))
+		Expect(call(s, "POST", bookPath, booking(fresh)).Outcome).To(Equal("not_run"))
+		Expect(call(s, "POST", bookPath, booking(ticket)).Status).To(Equal(200))
+		return &front.Answer{}, nil
+	}
+	Expect(call(s, "POST", findPath, ``).Status).To(Equal(200))
+	Expect(f.ran()).To(Equal(2))
+}
+
 // The answer of a caller that went away must be kept for its next call; one
 // without a ticket must be cancelled.
 func TestTicketedRequestGoesOnWithoutItsCaller(t *testing.T) {
