--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -37,6 +37,7 @@
 	most     int
 	cancels  []wire.SubID
 	probes   int
+	misused  int // calls on a connection after an error
 	cut      int // runs that ended because the connection was closed
 }
 
@@ -125,15 +126,25 @@
 	closed    chan struct{}
 	closeOnce sync.Once
 	silent    bool
+	failed    bool // a call returned an error
+}
+
+// begin notes a call; the caller holds the server's mutex.
+func (c *fakeConn) begin() {
+	if c.failed {
+		c.server.misused++
+	}
 }
 
 func (c *fakeConn) lost() error {
+	c.server.set(func(*fakeServer) { c.failed = true })
 	return &backend.LostError{Replica: c.id, Err: syscall.ECONNRESET}
 }
 
 func (c *fakeConn) Run(ctx context.Context, subs []wire.Sub) ([]wire.Reply, error) {
 	s := c.server
 	s.mu.Lock()
+	c.begin()
 	fault, took := s.fault, s.took
 	select {
 	case <-c.closed:
@@ -145,6 +156,7 @@
 		fault = faultUnsent
 	}
 	if fault == faultUnsent {
+		c.failed = true
 		s.mu.Unlock()
 		time.Sleep(took / 4)
 		return nil, &backend.NotSentError{Replica: c.id, Err: syscall.EPIPE}
@@ -199,12 +211,13 @@
 }
 
 func (c *fakeConn) Cancel(_ context.Context, ids []wire.SubID) error {
-	c.server.set(func(s *fakeServer) { s.cancels = append(s.cancels, ids...) })
+	c.server.set(func(s *fakeServer) { c.begin(); s.cancels = append(s.cancels, ids...) })
 	return nil
 }
 
 func (c *fakeConn) Status(ctx context.Context) (backend.Status, error) {
 	c.server.mu.Lock()
+	c.begin()
 	c.server.probes++
 	status, stuck := c.server.status, c.server.frozen || c.silent
 	c.server.mu.Unlock()
@@ -247,8 +260,8 @@
 	o.foreign[id] = !owned
 }
 
-// bench is an owner with fake servers in one bubble.
-type bench struct {
+// harness is an owner with fake servers in one bubble.
+type harness struct {
 	t         *testing.T
 	owner     *Owner
 	dialer    *fakeDialer
@@ -277,9 +290,9 @@
 	return &release.Config{Version: 1, Services: map[string]*release.Service{service.Name: service}}
 }
 
-// newBench starts an owner; settle waits until the overlap is over.
-func newBench(t *testing.T, cfg *release.Config, settle bool, change ...func(*Options)) *bench {
-	b := &bench{
+// newHarness starts an owner; settle waits until the overlap is over.
+func newHarness(t *testing.T, cfg *release.Config, settle bool, change ...func(*Options)) *harness {
+	b := &harness{
 		t: t, dialer: &fakeDialer{}, ownership: &ownership{}, leaving: map[wire.ReplicaID]bool{},
 		replies: map[wire.SubID][]wire.Reply{}, at: map[wire.SubID]time.Time{}, stopped: make(chan struct{}),
 	}
@@ -305,12 +318,12 @@
 	return b
 }
 
-func (b *bench) close() {
+func (b *harness) close() {
 	b.stop()
 	<-b.stopped
 }
 
-func (b *bench) done(replies []wire.Reply) {
+func (b *harness) done(replies []wire.Reply) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, r := range replies {
@@ -319,7 +332,7 @@
 	}
 }
 
-func (b *bench) sub(id wire.ReplicaID, left time.Duration) wire.Sub {
+func (b *harness) sub(id wire.ReplicaID, left time.Duration) wire.Sub {
 	b.next++
 	return wire.Sub{
 		ID: wire.SubID{Host: 7, Seq: b.next}, Service: "mill-dispatch", Search: "rota", Replica: id,
@@ -328,7 +341,7 @@
 }
 
 // send sends n sub-requests and returns their ids.
-func (b *bench) send(id wire.ReplicaID, left time.Duration, n int) []wire.SubID {
+func (b *harness) send(id wire.ReplicaID, left time.Duration, n int) []wire.SubID {
 	var subs []wire.Sub
 	var ids []wire.SubID
 	for range n {
@@ -340,7 +353,7 @@
 }
 
 // reply returns the one reply to an id; the zero reply if there is none yet.
-func (b *bench) reply(id wire.SubID) wire.Reply {
+func (b *harness) reply(id wire.SubID) wire.Reply {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.replies[id]) > 1 {
@@ -352,7 +365,7 @@
 	return b.replies[id][0]
 }
 
-func (b *bench) info(id wire.ReplicaID) ReplicaInfo {
+func (b *harness) info(id wire.ReplicaID) ReplicaInfo {
 	for _, info := range b.owner.ReplicaStatus("") {
 		if info.Replica == id {
 			return info
--- a/internal/scatter/attempt.go
+++ b/internal/scatter/attempt.go
@@ -9,8 +9,11 @@
 const (
 	// shortestTry is the least time left with which a sub-request is sent.
 	shortestTry = time.Millisecond
-	// maxRounds bounds how often all replicas of a shard are tried.
-	maxRounds = 4
+	// refusedRounds is how often all replicas of a shard may refuse before a
+	// query is given up of which nothing was answered.
+	refusedRounds = 4
+	// maxPauseDoublings bounds the pause between two rounds.
+	maxPauseDoublings = 3
 	// budgetPause is the time after which a retry asks the budget again.
 	budgetPause = 10 * time.Millisecond
 )
@@ -35,7 +38,7 @@
 	hedgeAt := now.Add(q.service.hedgeDelay(now, &q.engine.options))
 	for i := range q.parts {
 		p := &q.parts[i]
-		r := q.pick(p, now)
+		r := q.pick(p, p.tried, now)
 		if r == nil || left < shortestTry {
 			q.firsts[i].ended = true
 			q.noReplica(p, now)
@@ -59,9 +62,8 @@
 // begin records that a sub-request of a part goes to a replica.
 func (q *query) begin(p *part, r *replica, seq uint64, now time.Time) wire.Sub {
 	p.outstanding++
-	if r.index < maxTried {
-		p.tried |= 1 << r.index
-	}
+	p.tried |= r.bit()
+	p.running |= r.bit()
 	r.chosen(now)
 	return wire.Sub{
 		ID:         wire.SubID{Host: q.engine.options.Incarnation, Seq: seq},
@@ -117,17 +119,19 @@
 	}
 }
 
-// hedge duplicates an unanswered sub-request on another replica.
+// hedge duplicates an unanswered sub-request on another replica. One that
+// refused before may have room by now, so only the running attempts exclude
+// theirs.
 func (q *query) hedge(i int, now time.Time) {
 	p := &q.parts[i]
 	if !q.repeatable || q.deadline.Sub(now) < shortestTry {
 		return
 	}
-	r := q.pick(p, now)
+	q.schedule(p, now.Add(q.service.hedgeDelay(now, &q.engine.options)))
+	r := q.pick(p, p.running, now)
 	if r == nil {
 		return
 	}
-	q.schedule(p, now.Add(q.service.hedgeDelay(now, &q.engine.options)))
 	if !q.service.budget.take() {
 		q.work.BudgetRefused++
 		return
@@ -143,7 +147,7 @@
 		q.giveUp(p, now)
 		return
 	}
-	r := q.pick(p, now)
+	r := q.pick(p, p.tried, now)
 	if r == nil {
 		q.noReplica(p, now)
 		return
@@ -204,11 +208,14 @@
 // or the range; trying the same ones again is useless.
 func (p *part) isGone() bool { return p.gone > 0 || p.reason == wire.ReasonSnapshotGone }
 
-// nextRound tries all replicas of a part again after a pause.
+// nextRound tries all replicas of a part again after a pause. If other parts
+// were answered, this goes on until the deadline, because one shard would
+// spoil the whole answer.
 func (q *query) nextRound(p *part, now time.Time) {
 	p.rounds++
-	pause := q.engine.options.RetryBackoff << min(p.rounds-1, maxRounds)
-	if p.isGone() || !p.resend || p.rounds >= maxRounds || now.Add(pause+shortestTry).After(q.deadline) {
+	pause := q.engine.options.RetryBackoff << min(p.rounds-1, maxPauseDoublings)
+	hopeless := p.rounds >= refusedRounds && !q.answered
+	if p.isGone() || !p.resend || hopeless || now.Add(pause+shortestTry).After(q.deadline) {
 		q.giveUp(p, now)
 		return
 	}
@@ -265,6 +272,7 @@
 	q.cancels = append(q.cancels, wire.SubID{Host: q.engine.options.Incarnation, Seq: seq})
 	q.work.Cancelled++
 	q.parts[index].outstanding--
+	q.parts[index].running &^= a.replica.bit()
 }
 
 // cancelOutstanding withdraws all attempts.
