--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -179,6 +179,8 @@
 // for it, and tells the peers.
 func (h *Host) adopt(cfg *release.Config) {
 	h.owner.SetConfig(cfg)
+	h.engine.Retain(cfg)
+	h.admit.Retain(func(service string) bool { return cfg.Services[service] != nil })
 	h.members.SetConfigVersion(cfg.Version)
 	h.members.Announce(cfg.Version)
 }
@@ -267,9 +269,10 @@
 		Forwarder:   forwarder{h.client},
 		Tickets:     h.tickets,
 		Log:         h.log,
-		Metrics:     h.scope.SubScope("front"),
+		Metrics:     h.scope,
 		MetricsText: h.metrics,
-		DrainWait:   h.settings.DrainWait.D(),
+		// Zero would mean the default of the front.
+		DrainWait:   max(h.settings.DrainWait.D(), time.Nanosecond),
 		StopTimeout: stopTimeout,
 		BodyLimit:   h.settings.Limits.RequestBytes,
 		NoteLimit:   h.settings.Limits.NoteBytes,
