Give the adapter's tests the default call timeout

Change: only the test of the late write keeps 300 ms; its expectations are unchanged. Conclusion: the adapter was right; the test's time limit was not.

--- a/internal/platform/httpkv/client_test.go
+++ b/internal/platform/httpkv/client_test.go
@@ -16,12 +16,17 @@
 )
 
 func start(t *testing.T) (*standin.Server, *httpkv.Client) {
+	t.Helper()
+	return startWith(t, httpkv.DefaultCallTimeout)
+}
+
+func startWith(t *testing.T, timeout time.Duration) (*standin.Server, *httpkv.Client) {
 	t.Helper()
 	server := standin.NewServer()
 	listener := httptest.NewServer(server)
 	t.Cleanup(listener.Close)
 	client, err := httpkv.New(httpkv.Options{
-		URL: listener.URL, CallTimeout: 300 * time.Millisecond, WatchWait: 50 * time.Millisecond,
+		URL: listener.URL, CallTimeout: timeout, WatchWait: 50 * time.Millisecond,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -77,7 +82,7 @@
 // stand-in then drops, which would make the fault milder than a real one.
 func TestSlowWriteTakesEffectAfterItsCallerGaveUp(t *testing.T) {
 	g := NewWithT(t)
-	server, client := start(t)
+	server, client := startWith(t, 300*time.Millisecond)
 	server.SetFaults(standin.Faults{Delay: jwcc.Duration(400 * time.Millisecond)})
 	_, err := client.CompareAndSwap(context.Background(), "k", 0, []byte("v"))
 	var down *platform.UnavailableError
