--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -84,16 +84,16 @@
 
 // adopt brings a version into force unless this host has it or a higher one.
 func (a *Agent) adopt(m release.Manifest, docs map[string][]byte, source string) error {
-	config, err := release.Assemble(m, docs)
-	if err != nil {
-		return errors.WithStack(err)
-	}
 	a.adoptMu.Lock()
 	defer a.adoptMu.Unlock()
 	old := a.current.Load()
 	if m.Version <= old.version() {
 		return nil
 	}
+	config, err := assemble(old, m, docs)
+	if err != nil {
+		return errors.WithStack(err)
+	}
 	next := &snapshot{config: config, manifest: m, docs: docs}
 	if old != nil {
 		next.older = old.docs
@@ -108,6 +108,41 @@
 	return nil
 }
 
+// assemble builds a configuration and reuses the unchanged services and
+// searches of the version before, so that a change costs no more than what it
+// changes: a full configuration has 70,000 replicas.
+func assemble(old *snapshot, m release.Manifest, docs map[string][]byte) (*release.Config, error) {
+	if old == nil {
+		return release.Assemble(m, docs)
+	}
+	changed := release.Manifest{Version: m.Version, Note: m.Note, Services: map[string]string{}, Searches: map[string]string{}}
+	for name, hash := range m.Services {
+		if old.manifest.Services[name] != hash {
+			changed.Services[name] = hash
+		}
+	}
+	for name, hash := range m.Searches {
+		if old.manifest.Searches[name] != hash {
+			changed.Searches[name] = hash
+		}
+	}
+	config, err := release.Assemble(changed, docs)
+	if err != nil {
+		return nil, err
+	}
+	for name := range m.Services {
+		if config.Services[name] == nil {
+			config.Services[name] = old.config.Services[name]
+		}
+	}
+	for name := range m.Searches {
+		if config.Searches[name] == nil {
+			config.Searches[name] = old.config.Searches[name]
+		}
+	}
+	return config, nil
+}
+
 // known returns the manifest's documents that this host has and the hashes of
 // the others.
 func (a *Agent) known(m release.Manifest) (docs map[string][]byte, lacking []string) {
--- a/internal/rollout/apply_test.go
+++ b/internal/rollout/apply_test.go
@@ -176,3 +176,23 @@
 	var bad *BadDocumentError
 	g.Expect(errors.As(err, &bad)).To(BeTrue())
 }
+
+// Guards against a configuration that mixes two versions when unchanged
+// documents are reused, and against work that grows with the whole of it.
+func TestAdoptReusesWhatDidNotChange(t *testing.T) {
+	simulate(t, func(g *WithT, w *world) {
+		_, err := w.hosts[0].Apply(ctx, note("n-1", 0, release.Service{Name: "mill", Slots: 1}, release.Service{Name: "pay", Slots: 1}))
+		g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(time.Second)
+		before := w.hosts[5].Current()
+		_, err = w.hosts[0].Apply(ctx, note("n-2", 1, release.Service{Name: "pay", Slots: 2}))
+		g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(time.Second)
+		after := w.hosts[5].Current()
+		g.Expect(after.Version).To(Equal(uint64(2)))
+		g.Expect(after.Services).To(HaveLen(2))
+		g.Expect(after.Services["mill"]).To(BeIdenticalTo(before.Services["mill"]))
+		g.Expect(after.Services["pay"].Slots).To(Equal(uint32(2)))
+		g.Expect(before.Services["pay"].Slots).To(Equal(uint32(1)))
+	})
+}
