Show a change and faults under load in the demo

The demo printed 200 rows twice and ran one search per fault, so that it showed neither a change under load nor how the searches fared. It now prints five rows, shows time and work of each coverage run, keeps a search running during a second release note, a slow replica and a killed host, and ends with a summary. gaugectl coverage prints time and work, and adds both to its JSON.

--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -1,5 +1,5 @@
 // Command demo runs both example deployments on this machine, applies their
-// release notes, runs searches with and without a fault, and stops everything.
+// release notes, runs searches during a change and faults, and stops everything.
 package main
 
 import (
@@ -15,12 +15,18 @@
 	examples := app.Flag("examples", "Directory of the example files.").Default("examples").String()
 	out := app.Flag("out", "Directory for logs and generated files.").Default("out/demo").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
+	var runs []*runner
 	for _, s := range scenes {
 		r := &runner{scene: s, programs: *programs, examples: *examples, out: *out}
 		if err := r.run(); err != nil {
 			fmt.Fprintf(os.Stderr, "demo of %s failed: %v\nlogs are in %s\n", s.user, err, *out)
 			os.Exit(1)
 		}
+		runs = append(runs, r)
 	}
-	fmt.Println("demo finished; every process has stopped")
+	fmt.Print("\n== summary\n")
+	for _, r := range runs {
+		r.summary()
+	}
+	fmt.Printf("every process has stopped; logs and settings are in %s\n", *out)
 }
--- a/cmd/demo/scene.go
+++ b/cmd/demo/scene.go
@@ -9,8 +9,10 @@
 	model       string // settings of one host
 	dataCentres []string
 	delay       time.Duration // one way, between data centres
-	search      []string      // service, search and flags
-	single      []string      // a search that must run once
+	service     string
+	search      string   // repeatable
+	few         []string // flags that select a few ledgers
+	single      []string // a search that must run once
 	slow        slowReplica
 	kill        string // entry host that is killed and started again
 }
@@ -22,7 +24,7 @@
 	{
 		user: "Ganna Shift Labs", dir: "ganna", model: "badin-1.hujson",
 		dataCentres: []string{"badin", "thatta", "tando"}, delay: 5 * time.Millisecond,
-		search: []string{"mill-dispatch", "rota"},
+		service: "mill-dispatch", search: "rota", few: []string{"--lo", "8", "--hi", "13"},
 		single: []string{"mill-dispatch", "gang-call-out", "--lo", "7", "--hi", "8", "--ticket", "auto", "--payload", "gang=7"},
 		slow:   slowReplica{addr: "127.0.0.1:20000", dataCentre: "badin"},
 		kill:   "badin-2",
@@ -30,7 +32,7 @@
 	{
 		user: "Huber Tonnenwäsche", dir: "huber", model: "depot-linz-1.hujson",
 		dataCentres: []string{"depot-linz", "depot-wels", "depot-steyr"}, delay: 4 * time.Millisecond,
-		search: []string{"touren-app", "next-stops"},
+		service: "touren-app", search: "next-stops", few: []string{"--lo", "8", "--hi", "13"},
 		single: []string{"buchungsportal", "booking", "--lo", "7", "--hi", "8", "--ticket", "auto", "--payload", "wash=7"},
 		slow:   slowReplica{addr: "127.0.0.1:21000", dataCentre: "depot-linz"},
 		kill:   "depot-linz-2",
--- a/internal/operator/search.go
+++ b/internal/operator/search.go
@@ -135,7 +135,7 @@
 	if err != nil {
 		return s.searchFailed(err, "")
 	}
-	return s.show(found.Coverage)
+	return s.show(coverageReport{found.Coverage, found.Timing, found.Work})
 }
 
 func (v answer) writeText(w io.Writer) error {
@@ -150,13 +150,26 @@
 		v.Request, len(v.Rows), v.Snapshot, v.ConfigVersion, v.Timing.Total, v.Timing.SlowestShard); err != nil {
 		return err
 	}
-	if _, err := fmt.Fprintf(w, "work: %d first tries, %d hedges, %d retries, %d cancelled, %d dropped\n",
-		v.Work.FirstTries, v.Work.Hedges, v.Work.Retries, v.Work.Cancelled, v.Work.Dropped); err != nil {
+	if _, err := fmt.Fprintf(w, "work: %s\n", v.Work); err != nil {
 		return err
 	}
 	return v.Coverage.writeText(w)
 }
 
+// String lists the sub-requests by kind.
+func (v work) String() string {
+	return fmt.Sprintf("%d first tries, %d hedges, %d retries, %d cancelled, %d dropped",
+		v.FirstTries, v.Hedges, v.Retries, v.Cancelled, v.Dropped)
+}
+
+func (v coverageReport) writeText(w io.Writer) error {
+	if err := v.coverage.writeText(w); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(w, "in %s, slowest shard %d; work: %s\n", v.Timing.Total, v.Timing.SlowestShard, v.Work)
+	return err
+}
+
 func (v coverage) writeText(w io.Writer) error {
 	if _, err := fmt.Fprintf(w, "coverage %v: %d of %d ledgers, from %d shards\n", v.Fraction, v.Covered, v.Requested, len(v.Included)); err != nil {
 		return err
--- a/internal/operator/types.go
+++ b/internal/operator/types.go
@@ -126,18 +126,29 @@
 	Snapshot      uint64   `json:"snapshot"`
 	Rows          []row    `json:"rows"`
 	Coverage      coverage `json:"coverage"`
-	Timing        struct {
-		Total        string `json:"total"`
-		SlowestShard uint32 `json:"slowest_shard"`
-	} `json:"timing"`
-	Work struct {
-		FirstTries uint64 `json:"first_tries"`
-		Hedges     uint64 `json:"hedges"`
-		Retries    uint64 `json:"retries"`
-		Cancelled  uint64 `json:"cancelled"`
-		Dropped    uint64 `json:"dropped"`
-	} `json:"work"`
-	Warnings []string `json:"warnings,omitempty"`
+	Timing        timing   `json:"timing"`
+	Work          work     `json:"work"`
+	Warnings      []string `json:"warnings,omitempty"`
+}
+
+type timing struct {
+	Total        string `json:"total"`
+	SlowestShard uint32 `json:"slowest_shard"`
+}
+
+type work struct {
+	FirstTries uint64 `json:"first_tries"`
+	Hedges     uint64 `json:"hedges"`
+	Retries    uint64 `json:"retries"`
+	Cancelled  uint64 `json:"cancelled"`
+	Dropped    uint64 `json:"dropped"`
+}
+
+// coverageReport is the result of the coverage command.
+type coverageReport struct {
+	coverage
+	Timing timing `json:"timing"`
+	Work   work   `json:"work"`
 }
 
 type row struct {
