--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -12,11 +13,17 @@
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/arbutusgauge/arbutusgauge/internal/fixedseed"
 	"github.com/arbutusgauge/arbutusgauge/internal/jwcc"
 	"github.com/arbutusgauge/arbutusgauge/internal/release"
 	"github.com/arbutusgauge/arbutusgauge/internal/wire"
 )
 
+func TestMain(m *testing.M) {
+	fixedseed.Parse()
+	os.Exit(m.Run())
+}
+
 var objective = release.Objective{Good: 0.99, Latency: jwcc.Duration(100 * time.Millisecond), Coverage: 0.9}
 
 func result(o wire.Outcome, latency time.Duration, coverage float64) Result {
--- a/internal/release/release_test.go
+++ b/internal/release/release_test.go
@@ -5,16 +5,23 @@
 	"errors"
 	"fmt"
 	"maps"
+	"os"
 	"slices"
 	"testing"
 
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/arbutusgauge/arbutusgauge/internal/fixedseed"
 	"github.com/arbutusgauge/arbutusgauge/internal/jwcc"
 	"github.com/arbutusgauge/arbutusgauge/internal/wire"
 )
 
+func TestMain(m *testing.M) {
+	fixedseed.Parse()
+	os.Exit(m.Run())
+}
+
 const goodNote = `{ // first note
   "id": "n-1", "base": 0, "author": "ops",
   "services": {"added": [
--- a/internal/rollout/stateful_test.go
+++ b/internal/rollout/stateful_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"slices"
 	"sync"
 	"testing"
@@ -11,9 +12,15 @@
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 
+	"github.com/arbutusgauge/arbutusgauge/internal/fixedseed"
 	"github.com/arbutusgauge/arbutusgauge/internal/release"
 )
 
+func TestMain(m *testing.M) {
+	fixedseed.Parse()
+	os.Exit(m.Run())
+}
+
 // inForceWithin is the promised time from the end of the faults, or from a
 // later acknowledgement, until a note is in force on every host.
 const inForceWithin = 4 * time.Second
