Refuse a deployment on ports that are in use

Two deployments ran with the same ports: the second one's entry hosts could not listen, and the first one's answered its readiness checks and took its release note. The demo and the end-to-end suite now check every port before they start a program, and name the address that is not free.

--- a/internal/procs/deployment.go
+++ b/internal/procs/deployment.go
@@ -65,7 +65,7 @@
 		opts: opts, Backends: map[string]*Process{}, Hosts: map[string]*Process{},
 		entries: map[string]*settings.Entry{}, client: &http.Client{Timeout: 10 * time.Second},
 	}
-	for _, step := range []func() error{d.load, d.startPlatform, d.startBackends, d.startHosts} {
+	for _, step := range []func() error{d.load, d.checkPorts, d.startPlatform, d.startBackends, d.startHosts} {
 		if err := step(); err != nil {
 			d.Kill()
 			return nil, err
@@ -98,6 +98,28 @@
 	return d.writeJSON(d.NoteFile, d.Note)
 }
 
+// checkPorts returns *PortError when another program, such as a second
+// deployment, listens on an address of this one: its answers would be taken for
+// those of the programs started here.
+func (d *Deployment) checkPorts() error {
+	addrs := []string{d.PlatformAddr()}
+	for dc, dataCentre := range d.opts.DataCentres {
+		addrs = append(addrs, d.BackendAdmin(dataCentre))
+		for i := range d.opts.HostsPer {
+			index := dc*d.opts.HostsPer + i
+			addrs = append(addrs, d.offset(d.model.HTTP.Listen, index), d.offset(d.model.Peer.Listen, index))
+		}
+	}
+	for _, addr := range addrs {
+		listener, err := net.Listen("tcp", addr)
+		if err != nil {
+			return errors.WithStack(&PortError{Addr: addr, Err: err})
+		}
+		_ = listener.Close()
+	}
+	return nil
+}
+
 func (d *Deployment) writeJSON(file string, value any) error {
 	body, err := json.MarshalIndent(value, "", "  ")
 	if err != nil {
--- a/internal/procs/process.go
+++ b/internal/procs/process.go
@@ -43,6 +43,20 @@
 // Error implements error.
 func (e *TimeoutError) Error() string { return e.What + ": not within " + e.Limit.String() }
 
+// PortError reports an address of a deployment that can't be listened on.
+type PortError struct {
+	Addr string
+	Err  error
+}
+
+// Error implements error.
+func (e *PortError) Error() string {
+	return "address " + e.Addr + " is not free, another deployment may be running: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *PortError) Unwrap() error { return e.Err }
+
 // start runs a program with its output in a log file of dir.
 func start(name, dir, program string, args ...string) (*Process, error) {
 	file, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
