Put the settings for headers, open requests and the default delay into effect

Cause: limits.header_bytes, limits.open_requests and default_delay were checked and documented but used nowhere; header_timeout bounded the whole request. Change: front takes HeaderLimit and HeaderTimeout, scatter takes DefaultDelay, entry passes all of them. Conclusion: every documented setting has an effect.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -226,14 +226,16 @@
 	}
 	var err error
 	h.engine, err = scatter.New(scatter.Options{
-		Sender:      h.router,
-		Status:      statusSource{self: h.settings.Peer.Advertise, router: h.router, owner: h.owner, client: h.client},
-		Config:      h.rollout.Current,
-		DataCentre:  h.settings.DataCentre,
-		Delays:      delays,
-		Incarnation: h.incarnation,
-		Scope:       h.scope.SubScope("scatter"),
-		Logger:      h.log,
+		Sender:     h.router,
+		Status:     statusSource{self: h.settings.Peer.Advertise, router: h.router, owner: h.owner, client: h.client},
+		Config:     h.rollout.Current,
+		DataCentre: h.settings.DataCentre,
+		Delays:     delays,
+
+		DefaultDelay: h.settings.DefaultDelay.D(),
+		Incarnation:  h.incarnation,
+		Scope:        h.scope.SubScope("scatter"),
+		Logger:       h.log,
 	})
 	if err != nil {
 		return err
@@ -276,8 +278,11 @@
 		StopTimeout: stopTimeout,
 		BodyLimit:   h.settings.Limits.RequestBytes,
 		NoteLimit:   h.settings.Limits.NoteBytes,
-		ReadTimeout: h.settings.Limits.HeaderTimeout.D(),
+		OpenLimit:   int64(h.settings.Limits.OpenRequests),
+		HeaderLimit: h.settings.Limits.HeaderBytes,
 		IdleTimeout: h.settings.Limits.IdleTimeout.D(),
+
+		HeaderTimeout: h.settings.Limits.HeaderTimeout.D(),
 	})
 	if err != nil {
 		return err
--- a/internal/front/options.go
+++ b/internal/front/options.go
@@ -20,10 +20,14 @@
 	DefaultStopTimeout = 30 * time.Second
 	// DefaultBodyLimit bounds the body of a caller's request, in bytes.
 	DefaultBodyLimit = 1 << 20
+	// DefaultHeaderLimit bounds the header of one request, in bytes.
+	DefaultHeaderLimit = 16 << 10
 	// DefaultOpenLimit bounds the requests served at a time.
 	DefaultOpenLimit = 20000
 	// DefaultNoteLimit bounds a release note, in bytes.
 	DefaultNoteLimit = 64 << 20
+	// DefaultHeaderTimeout bounds the reading of one header.
+	DefaultHeaderTimeout = 5 * time.Second
 	// DefaultReadTimeout bounds the reading of one request.
 	DefaultReadTimeout = 30 * time.Second
 	// DefaultWriteTimeout bounds the writing of one answer.
@@ -63,6 +67,8 @@
 	BodyLimit       int64         // bytes
 	NoteLimit       int64         // bytes
 	OpenLimit       int64         // open requests above which searches are refused
+	HeaderLimit     int           // bytes of a request's header
+	HeaderTimeout   time.Duration // to read the header of one request
 	ReadTimeout     time.Duration
 	WriteTimeout    time.Duration
 	IdleTimeout     time.Duration
@@ -78,6 +84,7 @@
 	}{
 		{&o.DrainWait, DefaultDrainWait},
 		{&o.StopTimeout, DefaultStopTimeout},
+		{&o.HeaderTimeout, DefaultHeaderTimeout},
 		{&o.ReadTimeout, DefaultReadTimeout},
 		{&o.WriteTimeout, DefaultWriteTimeout},
 		{&o.IdleTimeout, DefaultIdleTimeout},
@@ -95,6 +102,9 @@
 	if o.NoteLimit == 0 {
 		o.NoteLimit = DefaultNoteLimit
 	}
+	if o.HeaderLimit == 0 {
+		o.HeaderLimit = DefaultHeaderLimit
+	}
 	if o.OpenLimit == 0 {
 		o.OpenLimit = DefaultOpenLimit
 	}
@@ -134,6 +144,8 @@
 		{o.BodyLimit, "BodyLimit"},
 		{o.NoteLimit, "NoteLimit"},
 		{o.OpenLimit, "OpenLimit"},
+		{int64(o.HeaderLimit), "HeaderLimit"},
+		{int64(o.HeaderTimeout), "HeaderTimeout"},
 		{int64(o.ReadTimeout), "ReadTimeout"},
 		{int64(o.WriteTimeout), "WriteTimeout"},
 		{int64(o.IdleTimeout), "IdleTimeout"},
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -39,9 +39,10 @@
 	s.echo = s.routes()
 	s.http = &http.Server{
 		Handler:           s.echo,
-		ReadHeaderTimeout: opts.ReadTimeout,
+		ReadHeaderTimeout: opts.HeaderTimeout,
 		ReadTimeout:       opts.ReadTimeout,
 		IdleTimeout:       opts.IdleTimeout,
+		MaxHeaderBytes:    opts.HeaderLimit,
 		ConnContext:       connContext,
 		ConnState:         connState,
 	}
--- a/internal/scatter/options.go
+++ b/internal/scatter/options.go
@@ -36,6 +36,8 @@
 	DataCentre string
 	// Delays are the one-way delays to the other data centres.
 	Delays map[string]time.Duration
+	// DefaultDelay is the one-way delay to a data centre that Delays lacks.
+	DefaultDelay time.Duration
 	// Incarnation is the Host of all SubIDs; it must differ between restarts
 	// of a process. Required.
 	Incarnation uint64
@@ -92,3 +94,10 @@
 		*d = value
 	}
 }
+
+func (o *Options) delay(dataCentre string) time.Duration {
+	if delay, ok := o.Delays[dataCentre]; ok {
+		return delay
+	}
+	return o.DefaultDelay
+}
--- a/internal/scatter/service.go
+++ b/internal/scatter/service.go
@@ -83,7 +83,7 @@
 		for n, r := range shard.Replicas {
 			rep := &replica{id: r.Addr, index: uint8(min(n, maxTried)), slots: config.Slots}
 			if r.DataCentre != o.DataCentre {
-				rep.trip = 2 * o.Delays[r.DataCentre]
+				rep.trip = 2 * o.delay(r.DataCentre)
 			}
 			if previous != nil {
 				rep.inherit(previous.byID[r.Addr])
