Put limits.open_requests in force

The setting was checked and then not used. The front now has an option for it and enters its own scope no longer, so the doubled scope is undone here.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -269,13 +269,14 @@
 		Forwarder:   forwarder{h.client},
 		Tickets:     h.tickets,
 		Log:         h.log,
-		Metrics:     h.scope,
+		Metrics:     h.scope.SubScope("front"),
 		MetricsText: h.metrics,
 		// Zero would mean the default of the front.
 		DrainWait:   max(h.settings.DrainWait.D(), time.Nanosecond),
 		StopTimeout: stopTimeout,
 		BodyLimit:   h.settings.Limits.RequestBytes,
 		NoteLimit:   h.settings.Limits.NoteBytes,
+		OpenLimit:   int64(h.settings.Limits.OpenRequests),
 		ReadTimeout: h.settings.Limits.HeaderTimeout.D(),
 		IdleTimeout: h.settings.Limits.IdleTimeout.D(),
 	})
