--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -271,7 +271,7 @@
 		Forwarder:   forwarder{h.client},
 		Tickets:     h.tickets,
 		Log:         h.log,
-		Metrics:     h.scope,
+		Metrics:     h.scope.SubScope("front"),
 		MetricsText: h.metrics,
 		// Zero would mean the default of the front.
 		DrainWait:   max(h.settings.DrainWait.D(), time.Nanosecond),
