Keep the exit status and the table of make bench

Cause: the filter of the test runner's lines hid a failed bench from make. Change: the output goes to out/policies.txt first; the status of the bench is kept.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,9 @@
 # Measures all query policies in virtual time: a table, the goals, JSON lines.
 bench:
 	@mkdir -p out
-	$(GO) test ./internal/bench -run '^TestPolicies$$' -count 1 -timeout 20m -v -policies -seed $(SEED) -lines $(CURDIR)/out/policies.jsonl | grep -v '^ *\(===\|---\)'
+	@$(GO) test ./internal/bench -run '^TestPolicies$$' -count 1 -timeout 20m -v -policies -seed $(SEED) \
+		-lines $(CURDIR)/out/policies.jsonl > out/policies.txt; status=$$?; \
+		grep -v '^ *\(===\|---\)' out/policies.txt; exit $$status
 
 lint:
 	$(GO) vet ./...
