--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,9 @@
 # Measures all query policies in virtual time: a table, the goals, JSON lines.
 bench:
 	@mkdir -p out
-	$(GO) test ./internal/bench -run '^TestPolicies$$' -count 1 -timeout 20m -v -policies -seed $(SEED) -lines $(CURDIR)/out/policies.jsonl | grep -v '^ *\(===\|---\)'
+	@$(GO) test ./internal/bench -run '^TestPolicies$$' -count 1 -timeout 20m -v -policies -seed $(SEED) \
+		-lines $(CURDIR)/out/policies.jsonl > out/policies.txt; status=$$?; \
+		grep -v '^ *\(===\|---\)' out/policies.txt; exit $$status
 
 # Long run of the stateful tests of tickets and of "not run", with new seeds:
 # make fuzz SEED=20260101 CHECKS=50000. A failure prints its steps and its seed.
