Make a returning host drop its claims about the others

Cause: go test -race ./internal/member failed now and then in TestIsolatedHostReturns (once in a loop of 160 s): the view of badin-2 lacked the live badin-0. A host that was cut off holds its whole data centre for dead; when the others only suspected it, or it held the sender for failed, it refuted the claim, kept its own claims in the queue and spread them as a live host. Ruled out: claims from other data centres, which foreign ignores. Change: a host that holds most of its data centre for failed takes itself for the one that was cut off. Conclusion: the cause was found by reading and is now held by a fixed test.

--- a/internal/member/agent_test.go
+++ b/internal/member/agent_test.go
@@ -138,6 +138,28 @@
 	}
 }
 
+// Guards against a returning host that goes on spreading its claims about the
+// others: it holds all of them for dead, while they only suspect it so far.
+func TestReturningHostDropsItsClaims(t *testing.T) {
+	g := NewWithT(t)
+	self := Host{Name: "badin-1", Addr: "10.0.0.1:7000", DataCentre: "badin", Incarnation: 1}
+	agent, err := New(Options{Self: self, Gossiper: link{newNetwork(), Host{}}, Log: quietLog})
+	g.Expect(err).NotTo(HaveOccurred())
+	agent.joined = true
+	event := func(name string, state State) *peerpb.MemberEvent {
+		return &peerpb.MemberEvent{Name: name, Addr: name, DataCentre: "badin", Incarnation: 1, State: uint32(state)}
+	}
+	tell := func(from *peerpb.MemberEvent, members ...*peerpb.MemberEvent) *peerpb.GossipMessage {
+		reply, err := agent.HandleGossip(t.Context(), &peerpb.GossipMessage{From: from, Members: members})
+		g.Expect(err).NotTo(HaveOccurred())
+		return reply
+	}
+	tell(event("badin-0", Live), event("badin-0", Dead), event("badin-2", Dead))
+	reply := tell(event("badin-2", Live), event("badin-1", Suspect))
+	g.Expect(reply.Members).NotTo(ContainElement(And(HaveField("Name", "badin-0"), HaveField("State", uint32(Dead)))))
+	g.Expect(agent.stale).To(BeTrue())
+}
+
 // Guards against a host that believes the claims of one that it holds for
 // dead, and that doesn't tell it so.
 func TestClaimsOfADeadSender(t *testing.T) {
--- a/internal/member/merge.go
+++ b/internal/member/merge.go
@@ -106,10 +106,9 @@
 		if order(claim, a.self) <= 0 {
 			return
 		}
-		if claim.State == Dead && from.dataCentre == a.self.DataCentre && a.joined && !from.failed {
+		if a.joined && from.dataCentre == a.self.DataCentre && a.wasCutOff(claim, from) {
 			// The others have gone on without this host, so their table is
-			// better than its own. A sender held for failed is the one that
-			// was cut off.
+			// better than its own.
 			a.setStale(time.Now())
 		}
 		a.self.Counter = claim.Counter + 1
@@ -120,6 +119,27 @@
 	a.queue.addMember(eventOf(a.self))
 }
 
+// wasCutOff reports whether a claim that this host failed shows that it, and
+// not the sender, was cut off. A host that holds most of its data centre for
+// failed was cut off itself, even if the others only suspect it so far;
+// otherwise a sender held for failed is the one that was.
+func (a *Agent) wasCutOff(claim Host, from source) bool {
+	if claim.State != Suspect && claim.State != Dead {
+		return false
+	}
+	failed, alive := 0, 0
+	for _, e := range a.table {
+		switch {
+		case e.host.DataCentre != a.self.DataCentre:
+		case e.host.State == Suspect || e.host.State == Dead:
+			failed++
+		default:
+			alive++
+		}
+	}
+	return failed > alive || claim.State == Dead && !from.failed
+}
+
 // store replaces what is known of a host and spreads it.
 func (a *Agent) store(e *entry, host Host, now time.Time) {
 	e.host = host
