Measure what each duty of a host costs by size

Cause: the target of 2,800 hosts and 70,000 replicas had no measured slopes, so nobody could say which duty carries it. Change: internal/tools/capacity measures front, route, peer, owner, the JSON adapter, release, once, burn and real processes; a test measures membership and rollout in virtual time. "make capacity" runs all and prints one table. Conclusion: every slope can be measured again with one command.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES ?= ./...
 TEST_TIMEOUT ?= 8m
 
-.PHONY: build demo test bench lint format generate generate-check
+.PHONY: build demo test bench capacity lint format generate generate-check
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -20,6 +20,17 @@
 	@mkdir -p out
 	$(GO) test ./internal/bench -run '^TestPolicies$$' -count 1 -timeout 20m -v -policies -seed $(SEED) -lines $(CURDIR)/out/policies.jsonl | grep -v '^ *\(===\|---\)'
 
+# Measures what each duty of a host costs by size: a table and JSON lines.
+CAPACITY_LINES = $(CURDIR)/out/capacity.jsonl
+CAPACITY_CORES ?= 4
+capacity: build
+	@mkdir -p out && rm -f $(CAPACITY_LINES)
+	$(GO) build -o bin/ ./internal/tools/capacity
+	GOMAXPROCS=$(CAPACITY_CORES) bin/capacity --lines $(CAPACITY_LINES) measure
+	$(GO) test ./internal/tools/capacity -run '^TestVirtual$$' -count 1 -cpu $(CAPACITY_CORES) -measure $(CAPACITY_LINES)
+	@cat $(CAPACITY_LINES)
+	@bin/capacity --lines $(CAPACITY_LINES) table
+
 lint:
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
--- /dev/null
+++ b/internal/tools/capacity/main.go
@@ -0,0 +1,84 @@
+// Command capacity measures what each duty of a host costs as its size grows
+// and prints the lines through the measured points.
+package main
+
+import (
+	"os"
+	"slices"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+)
+
+const (
+	dirMode  = 0o755
+	fileMode = 0o644
+)
+
+// group is a set of measurements of one module.
+type group struct {
+	name string
+	run  func(r Recorder, o *Options) error
+}
+
+var groups = []group{
+	{"front", measureFront},
+	{"route", measureRoute},
+	{"peer", measurePeer},
+	{"owner", measureOwner},
+	{"adapter", measureAdapter},
+	{"release", measureRelease},
+	{"once", measureOnce},
+	{"burn", measureBurn},
+	{"processes", measureProcesses},
+}
+
+func main() {
+	var options Options
+	app := kingpin.New("capacity", "Measures the cost of each duty of a host by size.")
+	measure, table := options.flags(app)
+	var err error
+	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	case measure.FullCommand():
+		err = runMeasure(&options)
+	case table.FullCommand():
+		err = runTable(&options)
+	}
+	if err != nil {
+		log.WithError(err).Fatal("measurement failed")
+	}
+}
+
+func runMeasure(o *Options) error {
+	recorder, err := openLines(o.Lines)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = recorder.Close() }()
+	for _, g := range groups {
+		if len(o.Only) > 0 && !slices.Contains(o.Only, g.name) {
+			continue
+		}
+		begin := time.Now()
+		if err := g.run(recorder, o); err != nil {
+			return errors.Wrap(err, g.name)
+		}
+		log.WithFields(log.Fields{"group": g.name, "took": time.Since(begin).Round(time.Millisecond)}).Info("measured")
+	}
+	return nil
+}
+
+func runTable(o *Options) error {
+	body, err := os.ReadFile(o.Lines)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	points, err := ParsePoints(body)
+	if err != nil {
+		return err
+	}
+	_, err = os.Stdout.WriteString(Table(points))
+	return errors.WithStack(err)
+}
--- /dev/null
+++ b/internal/tools/capacity/table.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"math"
+	"strconv"
+	"strings"
+)
+
+// significant is the number of digits printed of a value.
+const significant = 3
+
+// Fit returns the least-squares line. Points of one size give a slope of 0.
+func Fit(points []Point) Line {
+	n := float64(len(points))
+	if n == 0 {
+		return Line{}
+	}
+	var sumX, sumY float64
+	for _, p := range points {
+		sumX += p.Size
+		sumY += p.Value
+	}
+	meanX, meanY := sumX/n, sumY/n
+	var xx, xy float64
+	for _, p := range points {
+		xx += (p.Size - meanX) * (p.Size - meanX)
+		xy += (p.Size - meanX) * (p.Value - meanY)
+	}
+	if xx == 0 {
+		return Line{Fixed: meanY}
+	}
+	return Line{Fixed: meanY - xy/xx*meanX, Slope: xy / xx}
+}
+
+// Table returns the points as a Markdown table with one row for each measure,
+// in the order of their first points.
+func Table(points []Point) string {
+	var order []string
+	byMeasure := map[string][]Point{}
+	for _, p := range points {
+		if byMeasure[p.Measure] == nil {
+			order = append(order, p.Measure)
+		}
+		byMeasure[p.Measure] = append(byMeasure[p.Measure], p)
+	}
+	var out strings.Builder
+	out.WriteString("| measure | unit | size: value | fixed | slope |\n| --- | --- | --- | --- | --- |\n")
+	for _, measure := range order {
+		writeRow(&out, measure, byMeasure[measure])
+	}
+	return out.String()
+}
+
+func writeRow(out *strings.Builder, measure string, points []Point) {
+	values := make([]string, len(points))
+	for i, p := range points {
+		values[i] = Number(p.Size) + ": " + Number(p.Value)
+	}
+	line := Fit(points)
+	cells := []string{
+		measure, points[0].Unit, strings.Join(values, ", "), Number(line.Fixed), Number(line.Slope) + " per " + points[0].Per,
+	}
+	out.WriteString("| " + strings.Join(cells, " | ") + " |\n")
+}
+
+// Number formats a value with three significant digits, whole from 100 on.
+func Number(v float64) string {
+	if math.Abs(v) >= 100 || v == math.Trunc(v) {
+		return strconv.FormatFloat(v, 'f', 0, 64)
+	}
+	return strconv.FormatFloat(v, 'g', significant, 64)
+}
