--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 FUZZ_PACKAGES ?= ./internal/proof
 FUZZ_TIMEOUT ?= 2h
 
-.PHONY: build demo test bench fuzz lint format generate generate-check
+.PHONY: build demo test bench capacity fuzz lint format generate generate-check
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -34,6 +34,17 @@
 	$(GO) test -count=1 -timeout $(FUZZ_TIMEOUT) $(FUZZ_PACKAGES) -run Stateful \
 		-rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
 
+# Measures what each duty of a host costs by size: a table and JSON lines.
+CAPACITY_LINES = $(CURDIR)/out/capacity.jsonl
+CAPACITY_CORES ?= 4
+capacity: build
+	@mkdir -p out && rm -f $(CAPACITY_LINES)
+	$(GO) build -o bin/ ./internal/tools/capacity
+	GOMAXPROCS=$(CAPACITY_CORES) bin/capacity --lines $(CAPACITY_LINES) measure
+	$(GO) test ./internal/tools/capacity -run '^TestVirtual$$' -count 1 -cpu $(CAPACITY_CORES) -measure $(CAPACITY_LINES)
+	@cat $(CAPACITY_LINES)
+	@bin/capacity --lines $(CAPACITY_LINES) table
+
 lint:
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
