Detect silence of all connections of a replica at once

Cause: when all open connections of a replica went silent together, no later answer on another connection showed it, and a sub-request stayed stuck until its deadline; with the shard's other replica unreachable the answer lacked the shard. Change: an overdue sub-request starts a check: a fresh connection must answer its status call while the idle old ones are probed; unanswered old ones are replaced.

--- a/internal/e2e/serving_test.go
+++ b/internal/e2e/serving_test.go
@@ -37,6 +37,26 @@
 		}
 	})
 
+	// Guards against a shard that is left out because one replica's owner is
+	// paused while the connections to the other replica are silent.
+	It("keeps whole coverage when a host is paused right after the connections of another data centre went silent", func() {
+		for range 10 {
+			Expect(rota(fleet.HTTPAddr("badin-1")).Answered()).To(BeTrue())
+		}
+		_, err := caller.Post(context.Background(), fleet.BackendAdmin("badin"), "/v1/replicas/all/silence", nil, nil)
+		Expect(err).NotTo(HaveOccurred())
+		paused := fleet.Hosts["thatta-2"]
+		Expect(paused.Signal(syscall.SIGSTOP)).To(Succeed())
+		end := time.Now().Add(3 * time.Second)
+		for time.Now().Before(end) {
+			reply := rota(fleet.HTTPAddr("badin-1"))
+			Expect(reply.Answered()).To(BeTrue(), "%+v", reply)
+			Expect(reply.Coverage.Fraction).To(Equal(1.0), "%+v", reply.Coverage.Missing)
+		}
+		Expect(paused.Signal(syscall.SIGCONT)).To(Succeed())
+		Eventually(func() bool { return rota(fleet.HTTPAddr("thatta-2")).Answered() }, forceLimit, "100ms").Should(BeTrue())
+	})
+
 	It("goes on while a host is paused, and the host serves after it wakes", func() {
 		paused := fleet.Hosts["thatta-2"]
 		Expect(paused.Signal(syscall.SIGSTOP)).To(Succeed())
--- a/internal/owner/health.go
+++ b/internal/owner/health.go
@@ -24,6 +24,9 @@
 type health struct {
 	held wire.Held
 	cold bool
+	// statesInFlight: the server has stated a number of running sub-requests
+	// other than 0, so a 0 is not merely an absent field.
+	statesInFlight bool
 
 	leaving      bool // by the host list
 	drainStatus  bool // by the status call
@@ -109,6 +112,7 @@
 	if reply.Held.Newest != 0 {
 		r.health.held = reply.Held
 	}
+	r.health.statesInFlight = r.health.statesInFlight || reply.Load.InFlight > 0
 	r.setCold(reply.Load.State == wire.ReplicaCold)
 	if reply.Outcome == wire.NotRun && reply.Reason == wire.ReasonDraining || reply.Load.State == wire.ReplicaDraining {
 		r.drainByReply(now, fx)
@@ -193,6 +197,7 @@
 	if status.Held.Newest != 0 {
 		h.held = status.Held
 	}
+	h.statesInFlight = h.statesInFlight || status.InFlight > 0
 	r.setCold(status.Cold)
 	if status.Draining {
 		if !h.drainStatus {
@@ -276,6 +281,7 @@
 	defer cancel()
 	r.owner.metrics.probes.Inc(1)
 	status, err := c.conn.Status(ctx)
+	c.unanswered = err != nil && !notSent(err)
 	if err != nil {
 		r.owner.metrics.failed.Inc(1)
 		// The other idle connections may have failed with this one.
@@ -286,60 +292,9 @@
 	}
 	var fx effects
 	r.mu.Lock()
+	c.inFlight = status.InFlight
 	r.applyStatus(c, status, time.Now(), &fx)
 	r.mu.Unlock()
 	fx.apply(r.owner)
 	return true
 }
-
-// suspectSilent counts an answer on c against the connections whose
-// sub-requests were sent earlier, and closes those that count as silent.
-func (r *replica) suspectSilent(c *pooled, now time.Time, fx *effects) {
-	for _, other := range r.pool.busy {
-		if other.started.Before(c.started) {
-			other.later++
-		}
-	}
-	r.closeSilent(now, fx)
-}
-
-func (r *replica) silentAfter() time.Duration {
-	timings := &r.owner.options.Timings
-	return max(timings.SilentAfter, time.Duration(timings.SilentFactor)*r.latency.p95)
-}
-
-// closeSilent closes the connections that are overdue, and sets a timer for
-// those that will be unless they answer.
-func (r *replica) closeSilent(now time.Time, fx *effects) {
-	limit := r.silentAfter()
-	var next time.Duration
-	for _, c := range r.pool.busy {
-		if c.silent || c.later < r.owner.options.Timings.SilentAnswers {
-			continue
-		}
-		if wait := limit - now.Sub(c.started); wait > 0 {
-			if next == 0 || wait < next {
-				next = wait
-			}
-			continue
-		}
-		c.silent = true
-		r.owner.metrics.silent.Inc(1)
-		fx.log("connection silent", fields(r, "unanswered", now.Sub(c.started)))
-		fx.close(c.conn)
-	}
-	if next > 0 && r.pool.silentTimer == nil && !r.closed {
-		r.pool.silentTimer = time.AfterFunc(next, r.silentDue)
-	}
-}
-
-func (r *replica) silentDue() {
-	var fx effects
-	r.mu.Lock()
-	r.pool.silentTimer = nil
-	if !r.closed {
-		r.closeSilent(time.Now(), &fx)
-	}
-	r.mu.Unlock()
-	fx.apply(r.owner)
-}
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -16,6 +16,8 @@
 	refused  tally.Counter
 	closed   tally.Counter
 	silent   tally.Counter
+	checks   tally.Counter
+	checkHit tally.Counter
 	ejected  tally.Counter
 	unsent   tally.Counter
 	probes   tally.Counter
@@ -33,6 +35,8 @@
 		refused:  scope.Counter("connections_refused"),
 		closed:   scope.Counter("connections_closed"),
 		silent:   scope.Counter("connections_silent"),
+		checks:   scope.Counter("silence_checks"),
+		checkHit: scope.Counter("silence_checks_positive"),
 		ejected:  scope.Counter("ejections"),
 		unsent:   scope.Counter("unsent_retries"),
 		probes:   scope.Counter("probes"),
--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -26,6 +26,9 @@
 	redialAfter time.Time
 	redial      *time.Timer
 	silentTimer *time.Timer
+	silentAt    time.Time     // when silentTimer fires; zero while it is not set
+	check       *silenceCheck // in progress, or nil
+	checkAfter  time.Time     // the next check begins no earlier
 	dials       context.Context
 	cancelDials context.CancelFunc
 }
@@ -42,6 +45,11 @@
 	later    int // answers on other connections to sub-requests sent later
 	silent   bool
 	losses   int // pool.losses when it was opened
+
+	openedAt   time.Time
+	inFlight   uint32        // that the last status call stated
+	check      *silenceCheck // waits for the present call of this connection
+	unanswered bool          // the last probe or cancel was sent and got no answer
 }
 
 // job is what a connection does next: run the attempt, send the cancels or,
@@ -68,6 +76,19 @@
 	return c
 }
 
+// takeYoungest takes the idle connection that was opened last.
+func (p *pool) takeYoungest() *pooled {
+	at := 0
+	for i, c := range p.idle {
+		if !c.openedAt.Before(p.idle[at].openedAt) {
+			at = i
+		}
+	}
+	c := p.idle[at]
+	p.idle = slices.Delete(p.idle, at, at+1)
+	return c
+}
+
 func (p *pool) occupy(c *pooled, now time.Time) {
 	c.started, c.lastUsed = now, now
 	c.later = 0
@@ -95,11 +116,16 @@
 		return 0
 	case !r.owned || r.health.draining():
 		return 1
+	case r.pool.check != nil:
+		return min(r.slots+2, r.connShare())
 	default:
-		return min(r.slots+1, max(1, r.connLimit/2))
+		return min(r.slots+1, r.connShare())
 	}
 }
 
+// connShare returns the connections that an owner may hold at most.
+func (r *replica) connShare() int { return max(1, r.connLimit/2) }
+
 // fill opens missing connections. A host that isn't the owner opens one only
 // when there is work.
 func (r *replica) fill(now time.Time) {
@@ -139,10 +165,11 @@
 // trim closes the idle connections.
 func (r *replica) trim() { r.trimTo(0) }
 
-// trimTo closes idle connections until at most keep are open.
+// trimTo closes idle connections until at most keep are open. Those opened
+// first stay, because only they can tell whether the old ones are silent.
 func (r *replica) trimTo(keep int) {
 	for r.pool.open > keep && len(r.pool.idle) > 0 {
-		c := r.pool.takeOldest()
+		c := r.pool.takeYoungest()
 		r.pool.open--
 		close(c.jobs)
 	}
@@ -151,6 +178,7 @@
 // connect opens one connection and serves it until it is closed. The first
 // status call pays the connection's cost before a sub-request needs it.
 func (r *replica) connect(dials context.Context) {
+	begun := time.Now()
 	ctx, cancel := context.WithTimeout(dials, r.owner.options.Timings.DialTimeout)
 	conn, err := r.owner.options.Dialer.Dial(ctx, r.id)
 	var status backend.Status
@@ -166,7 +194,7 @@
 	}
 	r.owner.metrics.opened.Inc(1)
 	c := &pooled{replica: r, conn: conn, jobs: make(chan job, 1)}
-	if r.opened(c, status) {
+	if r.opened(c, status, begun) {
 		c.serve()
 	}
 	_ = conn.Close()
@@ -203,7 +231,7 @@
 }
 
 // opened adds a connection to the pool; false means that it isn't wanted.
-func (r *replica) opened(c *pooled, status backend.Status) bool {
+func (r *replica) opened(c *pooled, status backend.Status, begun time.Time) bool {
 	var fx effects
 	defer func() { fx.apply(r.owner) }()
 	now := time.Now()
@@ -222,8 +250,9 @@
 	r.applyStatus(c, status, now, &fx)
 	r.pool.open++
 	r.pool.idle = append(r.pool.idle, c)
-	c.lastUsed = now
+	c.openedAt, c.lastUsed = now, now
 	r.armProbe()
+	r.checkFresh(status, begun, now, &fx)
 	r.dispatch(now, &fx)
 	return true
 }
@@ -247,7 +276,7 @@
 }
 
 // returned puts the connection back into the pool after a job; false means
-// that it is to be closed.
+// that it is to be closed. A surplus connection has its jobs closed instead.
 func (r *replica) returned(c *pooled, ok bool) bool {
 	var fx effects
 	defer func() { fx.apply(r.owner) }()
@@ -255,18 +284,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.pool.other, c)
-	switch {
-	case !ok || c.silent:
+	r.checkOld(c, ok, now, &fx)
+	if !ok || c.silent {
 		r.pool.open--
 		r.pool.losses++
 		r.fill(now)
 		return false
-	case r.pool.open > r.target():
-		r.pool.open--
-		return false
 	}
 	c.lastUsed = now
 	r.pool.idle = append(r.pool.idle, c)
+	r.trimTo(r.target())
 	r.dispatch(now, &fx)
 	return true
 }
@@ -276,5 +303,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), c.replica.owner.options.Timings.ProbeTimeout)
 	defer cancel()
 	c.replica.owner.metrics.cancels.Inc(int64(len(ids)))
-	return c.conn.Cancel(ctx, ids) == nil
+	err := c.conn.Cancel(ctx, ids)
+	c.unanswered = err != nil && !notSent(err)
+	return err == nil
 }
--- a/internal/owner/replica.go
+++ b/internal/owner/replica.go
@@ -76,7 +76,7 @@
 		}
 	}
 	r.expiry, r.probeTimer, r.pool.redial, r.pool.silentTimer = nil, nil, nil, nil
-	r.expiryAt = time.Time{}
+	r.expiryAt, r.pool.silentAt, r.pool.check = time.Time{}, time.Time{}, nil
 }
 
 // unused reports whether a vanished replica has no connection left.
@@ -219,6 +219,9 @@
 	if len(r.queue) > 0 && r.inFlight < limit {
 		r.fill(now)
 	}
+	if len(r.pool.busy) > 0 && r.pool.silentAt.IsZero() {
+		r.armSilent(now.Add(r.silentAfter()), now)
+	}
 	r.tellCancels(now)
 	r.armExpiry(now)
 }
