Explain and mend the flaking silence test

The connection that replaces the trimmed one opened at once, before the sub-requests, so that one of them went to it and was answered: the reply had no reason. Change: in the test a connection costs 6 ms, so that the replacement opens after the sub-requests were sent; the bound is the stated one. A connection counts as fresh if it is younger than those of the overdue sub-requests, because one opened between the silence and the sub-requests says nothing about the older ones.

--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -47,8 +47,9 @@
 	record
 	took   time.Duration
 	fault  fault
-	unsent int  // next calls that fail unsent
-	refuse bool // dials
+	unsent int           // next calls that fail unsent
+	refuse bool          // dials
+	cost   time.Duration // of a new connection
 	status backend.Status
 	frozen bool // status calls get no answer
 	silent int  // the next so many runs make their connection silent
@@ -80,6 +81,10 @@
 func (d *fakeDialer) Dial(_ context.Context, id wire.ReplicaID) (backend.Conn, error) {
 	s := d.server(id)
 	s.mu.Lock()
+	cost := s.cost
+	s.mu.Unlock()
+	time.Sleep(cost)
+	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.refuse {
 		return nil, &backend.DialError{Replica: id, Err: syscall.ECONNREFUSED}
--- a/internal/owner/silence.go
+++ b/internal/owner/silence.go
@@ -17,13 +17,13 @@
 type silenceCheck struct {
 	begun    time.Time
 	suspects []suspect // connections with an overdue sub-request
-	since    time.Time // the earliest of their sub-requests was sent
+	youngest time.Time // the last of their connections was opened
 
 	old      int // old connections whose call is awaited
 	answered int // old connections that answered
 	silent   int // old connections that didn't
 
-	fresh    bool // a connection opened after since answered a status call
+	fresh    bool // a connection opened after youngest answered a status call
 	inFlight int  // that the fresh connection's status stated
 	settleAt time.Time
 }
@@ -127,9 +127,11 @@
 // the connection limit allows. Otherwise the replacement of a silent idle
 // connection is the fresh one.
 func (r *replica) beginCheck(overdue []suspect, now time.Time) {
-	check := &silenceCheck{begun: now, suspects: overdue, since: now}
+	check := &silenceCheck{begun: now, suspects: overdue}
 	for _, s := range overdue {
-		check.since = earlier(check.since, s.started)
+		if s.conn.openedAt.After(check.youngest) {
+			check.youngest = s.conn.openedAt
+		}
 	}
 	r.pool.check = check
 	r.owner.metrics.checks.Inc(1)
@@ -156,8 +158,9 @@
 	}
 	check.old--
 	switch {
-	case ok && !c.openedAt.Before(check.since):
-		// It was opened too late to have gone silent with the others.
+	case ok && c.openedAt.After(check.youngest):
+		// It may have been opened after the others went silent, so that its
+		// answer says nothing about them.
 		check.setFresh(c.inFlight, check.begun, now)
 	case ok:
 		check.answered++
