Revert "Try half of the latency goal as the admitted queue wait"

Change: WaitShare is 0.25 again. Conclusion: the refusals at 70% need another cause to be found, see docs/policy.md.

--- a/internal/admit/options.go
+++ b/internal/admit/options.go
@@ -12,7 +12,7 @@
 	defaultCeiling    = 4096 // queries in flight
 	defaultIncrease   = 0.25 // queries per round trip
 	defaultDecrease   = 0.8  // factor
-	defaultWaitShare  = 0.5 // of the latency goal
+	defaultWaitShare  = 0.25 // of the latency goal
 	defaultGoal       = 200 * time.Millisecond
 	defaultRetryAfter = 50 * time.Millisecond
 	maxRetryAfter     = time.Second
