Name the reason of a query that ends before its time

Cause: in an end-to-end trial 12 searches ended after 2 ms with "may have run: timeout". Change: without failed attempts the reason is that of the shards given up; shards cancelled before the query stops waiting are listed as cancelled. Conclusion: the reasons in coverage and errors are what happened.

--- a/internal/scatter/attempt.go
+++ b/internal/scatter/attempt.go
@@ -275,11 +275,17 @@
 	q.parts[index].running &^= a.replica.bit()
 }
 
-// cancelOutstanding withdraws all attempts.
+// cancelOutstanding withdraws all attempts. Before the time at which a query
+// stops waiting, it does so because the query has ended or restarts, not
+// because they were too slow.
 func (q *query) cancelOutstanding(now time.Time) {
+	reason := wire.ReasonTimeout
+	if now.Before(q.goalAt) {
+		reason = wire.ReasonCancelled
+	}
 	for i := range q.parts {
 		if p := &q.parts[i]; p.outstanding > 0 {
-			p.reason = wire.ReasonTimeout
+			p.reason = reason
 			q.cancelPart(int32(i), now)
 		}
 	}
--- a/internal/scatter/query.go
+++ b/internal/scatter/query.go
@@ -258,10 +258,15 @@
 	return t
 }
 
-// mainReason returns the most frequent reason of failed attempts.
+// mainReason returns the most frequent reason of failed attempts, or that of
+// the parts that were given up without any.
 func (q *query) mainReason() wire.Reason {
+	reasons := q.refusals
+	if len(reasons) == 0 {
+		reasons = q.lostReasons()
+	}
 	best, most := wire.ReasonTimeout, 0
-	for reason, n := range q.refusals {
+	for reason, n := range reasons {
 		if n > most || n == most && reason < best {
 			best, most = reason, n
 		}
@@ -269,6 +274,16 @@
 	return best
 }
 
+func (q *query) lostReasons() map[wire.Reason]int {
+	reasons := map[wire.Reason]int{}
+	for i := range q.parts {
+		if p := &q.parts[i]; p.ended && p.got.Len() < p.need.Len() {
+			reasons[p.reason]++
+		}
+	}
+	return reasons
+}
+
 func (q *query) count() {
 	m, w := &q.engine.metrics, &q.work
 	m.firstTries.Inc(int64(w.FirstTries))
--- a/internal/scatter/run_test.go
+++ b/internal/scatter/run_test.go
@@ -223,6 +223,32 @@
 	})
 }
 
+// Guards against "timeout" as the reason of a query that ended at once, because
+// a shard whose replicas lack the snapshot puts the least coverage out of reach.
+func TestEarlyEndNamesItsReason(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		config := testConfig(2, 1)
+		sender := &fakeSender{behave: func(sub wire.Sub) (time.Duration, wire.Reply, bool) {
+			return 50 * time.Millisecond, good(sub), true
+		}}
+		infos := []ReplicaInfo{
+			{Replica: config.Services["mill"].Shards[0].Replicas[0].Addr, Held: wire.Held{Oldest: 40, Newest: 42}},
+			{
+				Replica: config.Services["mill"].Shards[1].Replicas[0].Addr, Shard: 1,
+				Held: wire.Held{Oldest: 30, Newest: 31},
+			},
+		}
+		_, err := testEngine(t, sender, func(o *Options) { o.Status = known(infos...) }).Run(t.Context(), rota(config))
+		unknown, ok := errors.AsType[*UnknownError](err)
+		g.Expect(ok).To(BeTrue(), "%v", err)
+		g.Expect(unknown.Reason).To(Equal(wire.ReasonSnapshotGone))
+		g.Expect(unknown.Coverage.Missing).To(ConsistOf(
+			Missing{Shard: 0, Range: wire.KeyRange{Lo: 0, Hi: 10}, Reason: wire.ReasonCancelled},
+			Missing{Shard: 1, Range: wire.KeyRange{Lo: 10, Hi: 20}, Reason: wire.ReasonSnapshotGone}))
+	})
+}
+
 // Guards against a shard that is left out although a newer snapshot and
 // configuration would give the whole answer, and against endless restarts.
 func TestRestartsOnceOnNewerConfiguration(t *testing.T) {
