Fuzz all stateful tests with make fuzz

Cause: make fuzz ran the tests of tickets only; owner, scatter and rollout have stateful tests against oracles too. Change: four packages and the names of their tests. Conclusion: one command takes a new seed through every oracle.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TEST_TIMEOUT ?= 8m
 # Random checks of one fuzz run.
 CHECKS ?= 5000
-FUZZ_PACKAGES ?= ./internal/proof
+FUZZ_PACKAGES ?= ./internal/proof ./internal/owner ./internal/scatter ./internal/rollout
 FUZZ_TIMEOUT ?= 2h
 
 .PHONY: build demo test bench capacity fuzz lint format generate generate-check
@@ -26,12 +26,12 @@
 		-lines $(CURDIR)/out/policies.jsonl > out/policies.txt; status=$$?; \
 		grep -v '^ *\(===\|---\)' out/policies.txt; exit $$status
 
-# Long run of the stateful tests of tickets and of "not run", with new seeds:
+# Long run of the stateful tests against oracles, with new seeds:
 # make fuzz SEED=20260101 CHECKS=50000. A failure prints its steps and its seed.
 # It runs without the race detector, whose runtime at times fails an internal
 # check ("tsan_rtl.cpp:346") after some thousand bubbles in one process.
 fuzz:
-	$(GO) test -count=1 -timeout $(FUZZ_TIMEOUT) $(FUZZ_PACKAGES) -run Stateful \
+	$(GO) test -count=1 -timeout $(FUZZ_TIMEOUT) $(FUZZ_PACKAGES) -run 'Stateful|AgainstOracle|UnderFaults' \
 		-rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
 
 # Measures what each duty of a host costs by size: a table and JSON lines.
