Make the spec of the restored platform able to fail

Cause: with both version guards of rollout switched off, the end-to-end spec in which the platform comes back with an older manifest still passed: a watcher waits for a revision above the last one it saw, and the restored key began at 1, so no host ever read the older manifest. Change: the older manifest is written until its revision is above the last one.

--- a/internal/e2e/config_test.go
+++ b/internal/e2e/config_test.go
@@ -94,13 +94,16 @@
 	})
 
 	It("never reverts when the platform comes back empty, or with an older configuration", func() {
-		var older struct {
-			Value []byte `json:"value"`
+		type stored struct {
+			Value    []byte `json:"value"`
+			Revision uint64 `json:"revision"`
 		}
+		var older, newer, restored stored
 		Expect(caller.Get(context.Background(), fleet.PlatformAddr(), "/v1/kv/config/manifest", &older)).To(Succeed())
 		version := versionAt("badin-1") + 1
 		Expect(applyNote(goalNote("before-loss", version-1, 64*time.Millisecond)).Applied).To(BeTrue())
 		inForceEverywhere(version)
+		Expect(caller.Get(context.Background(), fleet.PlatformAddr(), "/v1/kv/config/manifest", &newer)).To(Succeed())
 		fleet.Platform.Kill()
 		Expect(fleet.RestartPlatform()).To(Succeed())
 		stays := func() {
@@ -111,8 +114,13 @@
 			}
 		}
 		stays()
-		restored := map[string]any{"value": older.Value, "revision": 0}
-		Expect(caller.Put(context.Background(), fleet.PlatformAddr(), "/v1/kv/config/manifest", restored)).To(Succeed())
+		// A watcher waits for a revision above the last one that it saw, so the
+		// older manifest is written until it has one.
+		for restored.Revision <= newer.Revision {
+			put := stored{Value: older.Value, Revision: restored.Revision}
+			Expect(caller.Put(context.Background(), fleet.PlatformAddr(), "/v1/kv/config/manifest", put)).To(Succeed())
+			Expect(caller.Get(context.Background(), fleet.PlatformAddr(), "/v1/kv/config/manifest", &restored)).To(Succeed())
+		}
 		stays()
 		Expect(rota(fleet.HTTPAddr("badin-1")).Answered()).To(BeTrue())
 	})
