Let a few hosts follow the store, and larger hosts answer merged queries

Change: each data centre has seats in the store, taken by compare-and-swap under a lease, larger hosts first (internal/lead, in place of internal/presence). The holder of the first seat follows the store; hosts that lose it turn to the leaders elsewhere, and look at the store at random times that grow with the number of hosts. What a peer says is ordered by the store's revision, and its age counts suspensions (CLOCK_BOOTTIME). Holders that are 1.5 times as large as the smallest host answer merged queries for the others (internal/aggregate): a query is offered, and runs there only after its sender has confirmed it, otherwise the sender answers it.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -25,12 +25,15 @@
 	mu      sync.Mutex
 	table   *routing.Table
 	servers servers
-	hosts   int
+	share   Share
 	changes changeLog
-	// heardTable and heardServers are when the source last answered.
-	heardTable, heardServers time.Time
-	directUntil              atomic.Int64 // Unix nanoseconds; the source is followed until then
+	// revision is that of the source up to which the servers are known.
+	revision uint64
+	// heardTable and heardServers are when the source last answered, by the
+	// clock of the options, as far as this host or the one that it follows knows.
+	heardTable, heardServers time.Duration
 	callbacks                []func(*View)
+	catchingUp               atomic.Bool
 }
 
 // New returns an empty catalog, or *OptionError.
@@ -39,8 +42,9 @@
 		return nil, err
 	}
 	return &Catalog{
-		options: options, servers: newServers(), hosts: defaultHosts,
-		changes: changeLog{run: time.Now().UnixNano()},
+		options: options, servers: newServers(), share: Share{Hosts: defaultHosts},
+		changes:    changeLog{run: time.Now().UnixNano()},
+		heardTable: -unheard, heardServers: -unheard,
 	}, nil
 }
 
@@ -55,15 +59,17 @@
 	c.callbacks = append(c.callbacks, f)
 }
 
-// SetHosts takes the number of entry hosts that share the replicas.
-func (c *Catalog) SetHosts(n int) {
+// SetShare takes this host's share of the replicas.
+func (c *Catalog) SetShare(share Share) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n < 1 || n == c.hosts {
+	if share.Hosts < 1 || share == c.share {
 		return
 	}
-	c.options.Logger.WithFields(log.Fields{"hosts": n, "before": c.hosts}).Info("number of entry hosts changed")
-	c.hosts = n
+	c.options.Logger.WithFields(log.Fields{
+		"hosts": share.Hosts, "aggregators": share.Aggregators, "aggregates": share.Aggregates, "hosts_before": c.share.Hosts,
+	}).Info("share of the replicas changed")
+	c.share = share
 	c.rebuild()
 }
 
@@ -92,15 +98,19 @@
 	return true
 }
 
-// setServers takes a full list of servers, from the source or from a peer.
-func (c *Catalog) setServers(list []Server, fromSource bool) {
+// setServers takes a full list of servers as of a revision of the source.
+func (c *Catalog) setServers(list []Server, revision uint64) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if fromSource {
-		c.heardServers = now
-		c.servers.heard(now)
-	}
+	c.heardServers = c.options.Clock()
+	c.servers.heard(now)
+	c.takeList(list, revision, now)
+}
+
+// takeList takes a full list. The caller holds mu.
+func (c *Catalog) takeList(list []Server, revision uint64, now time.Time) {
+	c.revision = revision
 	if c.replaceServers(list, now) {
 		c.options.Logger.WithFields(log.Fields{"listed": len(list), "known": len(c.servers.known)}).Info("servers read in full")
 		c.rebuild()
@@ -118,13 +128,14 @@
 	return list
 }
 
-// apply takes the changes of servers.
-func (c *Catalog) apply(changes []ServerChange) {
+// apply takes the changes of servers up to a revision of the source.
+func (c *Catalog) apply(changes []ServerChange, revision uint64) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.heardServers = now
+	c.heardServers = c.options.Clock()
 	c.servers.heard(now)
+	c.revision = max(c.revision, revision)
 	changed := false
 	for _, change := range changes {
 		changed = c.applyOne(change, now) || changed
@@ -140,7 +151,7 @@
 	now := time.Now()
 	gone := c.servers.expired(now)
 	for i := range gone {
-		c.dropServer(gone[i], now, "server gone after the source's return")
+		c.dropServer(gone[i], 0, now, "server gone after the source's return")
 	}
 	if len(gone) > 0 {
 		c.rebuild()
@@ -153,13 +164,13 @@
 		if !known || c.servers.mayHaveLapsed(change.ID, now) {
 			return false
 		}
-		c.dropServer(old, now, "server gone")
+		c.dropServer(old, change.Revision, now, "server gone")
 		return true
 	}
 	if !c.servers.put(*change.Server) {
 		return false
 	}
-	c.changes.add(change.ID, change.Server)
+	c.changes.add(change)
 	switch {
 	case change.Server.Draining:
 		c.logServer("server draining", change.Server)
@@ -176,22 +187,22 @@
 	for i := range list {
 		present[list[i].ID] = true
 		if c.servers.put(list[i]) {
-			c.changes.add(list[i].ID, &list[i])
+			c.changes.add(ServerChange{ID: list[i].ID, Server: &list[i], Revision: c.revision})
 			changed = true
 		}
 	}
 	for id, server := range c.servers.known {
 		if !present[id] && !c.servers.mayHaveLapsed(id, now) {
-			c.dropServer(server, now, "server gone")
+			c.dropServer(server, c.revision, now, "server gone")
 			changed = true
 		}
 	}
 	return changed
 }
 
-func (c *Catalog) dropServer(server Server, now time.Time, event string) {
+func (c *Catalog) dropServer(server Server, revision uint64, now time.Time, event string) {
 	c.servers.drop(server, now)
-	c.changes.add(server.ID, nil)
+	c.changes.add(ServerChange{ID: server.ID, Revision: revision})
 	c.logServer(event, &server)
 }
 
@@ -212,7 +223,7 @@
 	}
 	view := &View{
 		Table:  c.table,
-		Config: newBuilder(&c.options, c.hosts, c.servers.known, previous).build(c.table),
+		Config: newBuilder(&c.options, c.share, c.servers.known, previous).build(c.table),
 	}
 	c.view.Store(view)
 	for _, f := range c.callbacks {
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -59,7 +59,7 @@
 	s.set(func(s *fakeSource) {
 		s.revision++
 		s.servers[server.ID] = server
-		s.log = append(s.log, loggedChange{ServerChange{ID: server.ID, Server: &server}, s.revision})
+		s.log = append(s.log, loggedChange{ServerChange{ID: server.ID, Server: &server, Revision: s.revision}, s.revision})
 	})
 }
 
@@ -68,7 +68,7 @@
 		for _, id := range ids {
 			s.revision++
 			delete(s.servers, id)
-			s.log = append(s.log, loggedChange{ServerChange{ID: id}, s.revision})
+			s.log = append(s.log, loggedChange{ServerChange{ID: id, Revision: s.revision}, s.revision})
 		}
 	})
 }
@@ -285,7 +285,7 @@
 	s.put(server("i-1", "a"))
 	follow(t, s, func(g *WithT, c *Catalog) {
 		for _, hosts := range []int{1, 3, 8, 13, 26} {
-			c.SetHosts(hosts)
+			c.SetShare(Share{Hosts: hosts})
 			service := c.View().Config.Services[ServiceName([]string{"a", "b"})]
 			g.Expect(int(service.Connections) / 2 * hosts).To(BeNumerically("<=", 26))
 			g.Expect(int(service.ExtraBurst) * hosts).To(BeNumerically("<=", 48))
@@ -293,6 +293,27 @@
 	})
 }
 
+// Guards against the same where some hosts answer merged queries for the
+// others, and against warm connections of hosts that rarely use them.
+func TestAggregatorsAndOtherHostsShare(t *testing.T) {
+	s := newSource()
+	s.write(1)
+	s.put(server("i-1", "a"))
+	follow(t, s, func(g *WithT, c *Catalog) {
+		name := ServiceName([]string{"a", "b"})
+		for hosts := 9; hosts <= 13; hosts++ {
+			c.SetShare(Share{Hosts: hosts, Aggregators: 3, Aggregates: true})
+			large := c.View().Config.Services[name]
+			c.SetShare(Share{Hosts: hosts, Aggregators: 3})
+			small := c.View().Config.Services[name]
+			g.Expect(3*int(large.Connections)/2 + (hosts-3)*int(small.Connections)/2).To(BeNumerically("<=", 18+hosts-3))
+			g.Expect(3*int(large.ExtraBurst) + (hosts-3)*int(small.ExtraBurst)).To(BeNumerically("<=", 48))
+			g.Expect(large.OnDemand).To(BeFalse())
+			g.Expect(small.OnDemand).To(BeTrue())
+		}
+	})
+}
+
 // Guards against state that is lost because an unrelated change made a new
 // object of an unchanged service.
 func TestUnchangedServiceKeepsItsAddress(t *testing.T) {
--- a/internal/catalog/config.go
+++ b/internal/catalog/config.go
@@ -33,17 +33,47 @@
 	return "shards-" + strconv.FormatUint(xxhash.Sum64String(names), 16)
 }
 
+// defaultHosts is assumed until the hosts are counted.
+const defaultHosts = 8
+
+// aggregatorShare is the share of a replica's connections and of the extra load
+// that belongs to the hosts that answer merged queries for others; the rest is
+// for hosts that reach none of them.
+const aggregatorShare = 0.75
+
+// Share is what this host may use of what all hosts share.
+type Share struct {
+	Hosts int // entry hosts
+	// Aggregators are the hosts that answer merged queries for the others, 0 if
+	// each host answers its own. Aggregates is set if this host is one of them.
+	Aggregators int
+	Aggregates  bool
+}
+
+// of returns the part of an amount that this host may use. merged says that it
+// serves merged queries.
+func (s Share) of(amount float64, merged bool) float64 {
+	switch {
+	case !merged || s.Aggregators == 0:
+		return amount / float64(s.Hosts)
+	case s.Aggregates:
+		return amount * aggregatorShare / float64(s.Aggregators)
+	default:
+		return amount * (1 - aggregatorShare) / float64(max(1, s.Hosts-s.Aggregators))
+	}
+}
+
 // builder makes the configuration of the query modules. It reuses the unchanged
 // services of the one before, because the modules keep state by their address.
 type builder struct {
 	options  *Options
-	hosts    int // entry hosts that share the connections and the extra load
+	share    Share // of the connections and the extra load
 	previous *release.Config
 	servers  map[string][]Server // by service, in a stable order
 }
 
-func newBuilder(options *Options, hosts int, known map[string]Server, previous *release.Config) *builder {
-	b := &builder{options: options, hosts: hosts, previous: previous, servers: map[string][]Server{}}
+func newBuilder(options *Options, share Share, known map[string]Server, previous *release.Config) *builder {
+	b := &builder{options: options, share: share, previous: previous, servers: map[string][]Server{}}
 	for _, id := range slices.Sorted(maps.Keys(known)) {
 		if server := known[id]; !server.Draining {
 			b.servers[server.Service] = append(b.servers[server.Service], server)
@@ -75,7 +105,7 @@
 func (b *builder) add(config *release.Config, table *routing.Table, route *routing.Route, shards []string) {
 	name := ServiceName(shards)
 	if config.Services[name] == nil {
-		config.Services[name] = b.service(name, table, shards)
+		config.Services[name] = b.service(name, table, shards, route.Merged())
 	}
 	config.Searches[release.SearchKey(name, route.Name)] = &release.Search{
 		Name:          route.Name,
@@ -89,13 +119,13 @@
 	}
 }
 
-func (b *builder) service(name string, table *routing.Table, shards []string) *release.Service {
+func (b *builder) service(name string, table *routing.Table, shards []string, merged bool) *release.Service {
 	s := &release.Service{
 		Name:          name,
 		Slots:         1,
 		Connections:   defaultConnections,
 		ExtraLoad:     b.options.ExtraLoad,
-		ExtraBurst:    uint32(max(1, b.options.ExtraBurst/b.hosts)),
+		ExtraBurst:    uint32(max(1, b.share.of(float64(b.options.ExtraBurst), merged))),
 		ExtraPerShard: true,
 	}
 	for i, shard := range slices.Sorted(slices.Values(shards)) {
@@ -106,8 +136,9 @@
 	}
 	// The owner uses half of the limit that it is given, so that a previous
 	// owner fits in. Here all hosts hold connections at the same time.
-	share := s.Connections / uint32(b.hosts)
+	share := uint32(b.share.of(float64(s.Connections), merged))
 	s.NearConnections = share < leastShare
+	s.OnDemand = merged && b.share.Aggregators > 0 && !b.share.Aggregates
 	s.Connections = 2 * max(1, share)
 	return b.reuse(s)
 }
@@ -128,7 +159,7 @@
 	}
 	old := b.previous.Services[s.Name]
 	if old == nil || old.Slots != s.Slots || old.Connections != s.Connections || old.ExtraBurst != s.ExtraBurst || old.ExtraLoad != s.ExtraLoad ||
-		old.NearConnections != s.NearConnections {
+		old.NearConnections != s.NearConnections || old.OnDemand != s.OnDemand {
 		return s
 	}
 	same := slices.EqualFunc(old.Shards, s.Shards, func(a, b release.Shard) bool {
--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -30,6 +30,12 @@
 	}
 }
 
+// leadPoll is the time between two looks at whether this host leads by now.
+const leadPoll = 50 * time.Millisecond
+
+// leads reports whether this host follows the source itself.
+func (c *Catalog) leads() bool { return c.options.Relay == nil || c.options.Relay.Leads() }
+
 // step makes one call of a follower.
 type step func(ctx context.Context) error
 
@@ -38,9 +44,9 @@
 	logger := c.options.Logger.WithField("what", what)
 	var lostAt time.Time
 	for ctx.Err() == nil {
-		if c.relay() != "" {
+		if !c.leads() {
 			lostAt = time.Time{}
-			sleep(ctx, relayPace)
+			sleep(ctx, leadPoll)
 			continue
 		}
 		err := next(ctx)
@@ -113,7 +119,7 @@
 func (c *Catalog) heardOfTable() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.heardTable = time.Now()
+	c.heardTable = c.options.Clock()
 }
 
 // serversStep reads the servers once and then watches them. The pace bounds the
@@ -123,12 +129,12 @@
 	return func(ctx context.Context) error {
 		limit, cancel := context.WithTimeout(ctx, c.options.ServersWait+c.options.CallTimeout)
 		defer cancel()
-		if revision == 0 {
+		if revision == 0 || c.knowsBeyond(revision) {
 			list, next, err := c.options.Source.Servers(limit)
 			if err != nil {
 				return err
 			}
-			c.setServers(list, true)
+			c.setServers(list, next)
 			revision = next
 		} else {
 			changes, err := c.options.Source.WatchServers(limit, revision, c.options.ServersWait)
@@ -136,13 +142,21 @@
 				return historyGone(err, &revision)
 			}
 			revision = changes.Revision
-			c.apply(changes.Changes)
+			c.apply(changes.Changes, changes.Revision)
 		}
 		sleep(ctx, c.options.ServersPace)
 		return nil
 	}
 }
 
+// knowsBeyond reports whether a peer has brought later changes than a revision.
+// The changes between must not be taken a second time.
+func (c *Catalog) knowsBeyond(revision uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.revision > revision
+}
+
 // historyGone starts over with a full read when the source dropped its history.
 func historyGone(err error, revision *uint64) error {
 	var gone *HistoryGoneError
--- a/internal/catalog/options.go
+++ b/internal/catalog/options.go
@@ -14,8 +14,6 @@
 	defaultServersPace = 700 * time.Millisecond
 	defaultCallTimeout = 500 * time.Millisecond
 	defaultRetryPause  = 300 * time.Millisecond
-	// defaultHosts is assumed until the hosts are counted.
-	defaultHosts = 8
 )
 
 // Options configure a Catalog.
@@ -29,9 +27,15 @@
 	// ExtraBurst is the number of retries and hedges beyond that, of all hosts
 	// together, for each shard.
 	ExtraBurst int
-	// Relay returns the peer address of a host that follows the source for this
-	// one, "" if this host does so itself. Nil means that it always does.
-	Relay func() string
+	// Relay knows the hosts that follow the source for this one. Nil means that
+	// this host always follows it itself.
+	Relay Relay
+	// Name and Cores, the processor share, tell the followed host who asks.
+	Name  string
+	Cores float64
+	// Clock returns a time that also counts suspensions of the host; default:
+	// the steady clock, which does not.
+	Clock func() time.Duration
 	// TableWait is how long one watch of the table waits, and so the time in
 	// which a silent connection to the source is found; default 1 s.
 	TableWait time.Duration
@@ -60,6 +64,10 @@
 			*value = preset
 		}
 	}
+	if o.Clock == nil {
+		began := time.Now()
+		o.Clock = func() time.Duration { return time.Since(began) }
+	}
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
--- a/internal/catalog/peers.go
+++ b/internal/catalog/peers.go
@@ -10,7 +10,7 @@
 const (
 	// startPause is the pause between two rounds of questions of a host that
 	// starts.
-	startPause = 500 * time.Millisecond
+	startPause = 300 * time.Millisecond
 	// anyAge accepts whatever a peer has, because the source is away.
 	anyAge = time.Duration(1<<63 - 1)
 )
@@ -21,7 +21,6 @@
 func (c *Catalog) StartFromPeers(ctx context.Context, peers []string) error {
 	dialer := &net.Dialer{Timeout: relayTimeout}
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}}
-	sleep(ctx, startPause)
 	for ctx.Err() == nil && c.View() == nil && len(peers) > 0 {
 		for _, peer := range peers {
 			if c.View() != nil {
@@ -36,3 +35,19 @@
 	<-ctx.Done()
 	return nil
 }
+
+// CatchUp takes the state of a peer that has answered by a newer table, so that
+// this host does not go back behind that answer.
+func (c *Catalog) CatchUp(peer string) {
+	if !c.catchingUp.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer c.catchingUp.Store(false)
+		p := newPeers()
+		defer p.client.CloseIdleConnections()
+		if err := c.askPeer(context.Background(), p.client, p.position(peer), anyAge); err != nil {
+			c.options.Logger.WithError(err).WithField("peer", peer).Warn("newer table of a peer not taken over")
+		}
+	}()
+}
--- a/internal/catalog/relay_test.go
+++ b/internal/catalog/relay_test.go
@@ -11,17 +11,42 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/lead"
 )
 
 // inTime is the least time that the users allow for a configuration and for a
 // server that leaves.
 const inTime = 3 * time.Second
 
+// fakeRelay names the host to follow. A host that can follow none leads after a
+// moment, as one that takes a seat does.
+type fakeRelay struct {
+	addrs  []string
+	alone  atomic.Bool // leads once no peer is left
+	leads  atomic.Bool
+	asked  atomic.Int64
+	orphan atomic.Int64
+}
+
+func (f *fakeRelay) Leads() bool            { return f.leads.Load() }
+func (f *fakeRelay) Peers() []string        { return f.addrs }
+func (f *fakeRelay) Asked(string, float64)  { f.asked.Add(1) }
+func (f *fakeRelay) Fleet() lead.Fleet      { return lead.Fleet{} }
+func (f *fakeRelay) Learn(fleet lead.Fleet) {}
+func (f *fakeRelay) Orphaned() {
+	f.orphan.Add(1)
+	if f.alone.Load() {
+		time.AfterFunc(100*time.Millisecond, func() { f.leads.Store(true) })
+	}
+}
+
 // pair is a host that follows the source and one that follows the first.
 type pair struct {
 	leader, follower     *Catalog
 	leaderSrc, followSrc *fakeSource
 	frozen               atomic.Bool // the leader does not answer
+	relay                *fakeRelay  // of the follower
 }
 
 // newPair runs both in real time, because they talk over connections.
@@ -42,13 +67,15 @@
 	}))
 	t.Cleanup(server.Close)
 	addr := strings.TrimPrefix(server.URL, "http://")
-	p.follower, err = New(Options{Source: p.followSrc, Relay: func() string { return addr }})
+	p.relay = &fakeRelay{addrs: []string{addr}}
+	p.relay.alone.Store(true)
+	p.follower, err = New(Options{Source: p.followSrc, Relay: p.relay, Name: "follower"})
 	g.Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { _ = p.leader.Run(ctx) })
-	// A follower that asks a leader without a table follows the source itself for
-	// relayHold, which the tests don't want yet.
+	// A follower that finds a leader without a table follows the source itself,
+	// which the tests don't want yet.
 	g.Eventually(p.leader.View, "2s").ShouldNot(BeNil())
 	group.Go(func() { _ = p.follower.Run(ctx) })
 	t.Cleanup(group.Wait)
@@ -110,7 +137,7 @@
 	for i := range 3 * keptChanges {
 		s := server("i-1", "a")
 		s.Sequence, s.Draining = uint64(i+1), i%2 == 0
-		c.apply([]ServerChange{{ID: "i-1", Server: &s}})
+		c.apply([]ServerChange{{ID: "i-1", Server: &s, Revision: uint64(i + 1)}}, uint64(i+1))
 	}
 	run, next := c.changes.run, c.changes.next
 	g.Expect(c.stateAfter(position{run: run, next: next}).Changes).To(BeEmpty())
@@ -137,3 +164,73 @@
 	g.Expect(away()).To(BeTrue())
 	g.Eventually(away, "2s").Should(BeFalse())
 }
+
+// serveCatalog serves the state of a catalog at an address.
+func serveCatalog(t *testing.T, c *Catalog) string {
+	server := httptest.NewServer(http.HandlerFunc(c.ServeState))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// Guards against hosts that go to the source, each for itself, while another
+// followed host still has fresh knowledge.
+func TestFollowerTurnsToAnotherPeer(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newPair(t)
+	other, err := New(Options{Source: p.leaderSrc})
+	g.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = other.Run(ctx) }()
+	g.Eventually(other.View, "2s").ShouldNot(BeNil())
+	relay := &fakeRelay{addrs: []string{"127.0.0.1:1", serveCatalog(t, other)}}
+	follower, err := New(Options{Source: p.followSrc, Relay: relay})
+	g.Expect(err).NotTo(HaveOccurred())
+	go func() { _ = follower.Run(ctx) }()
+	g.Eventually(follower.View, "2s").ShouldNot(BeNil())
+	p.leaderSrc.write(7)
+	g.Eventually(func() uint64 { return follower.View().Table.Version }, inTime).Should(BeEquivalentTo(7))
+	g.Expect(relay.orphan.Load()).To(BeZero())
+	p.followSrc.set(func(s *fakeSource) { g.Expect(s.calls).To(BeZero()) })
+}
+
+// Guards against a peer that is behind and takes away what a host has learned
+// elsewhere: a server that it does not list yet, or brings back one that left.
+func TestPeerThatIsBehindChangesNothing(t *testing.T) {
+	g := NewWithT(t)
+	c, err := New(Options{Source: newSource()})
+	g.Expect(err).NotTo(HaveOccurred())
+	c.SetTable(testTable(1), "test")
+	left, stays := server("i-1", "a"), server("i-2", "b")
+	c.setServers([]Server{left, stays}, 10)
+	c.apply([]ServerChange{{ID: "i-1", Revision: 11}}, 11)
+	c.takeState(&state{Revision: 9, Full: true, Servers: []Server{left}}, 0)
+	g.Expect(replicas(c)).To(ConsistOf(stays.Replica()))
+	again := left
+	again.Born = 2
+	c.apply([]ServerChange{{ID: "i-1", Server: &again, Revision: 12}}, 12)
+	// It reports the departure that this host knows, and one that is new.
+	c.takeState(&state{Revision: 13, Changes: []ServerChange{{ID: "i-1", Revision: 11}, {ID: "i-2", Revision: 13}}}, 0)
+	g.Expect(replicas(c)).To(ConsistOf(again.Replica()))
+	// A conclusion of the peer has no revision and always counts.
+	c.takeState(&state{Revision: 13, Changes: []ServerChange{{ID: "i-1"}}}, 0)
+	g.Expect(replicas(c)).To(BeEmpty())
+}
+
+// Guards against a host that wakes up from a suspension and passes its old
+// knowledge on as fresh.
+func TestSuspensionAgesWhatAHostKnows(t *testing.T) {
+	g := NewWithT(t)
+	var clock atomic.Int64
+	c, err := New(Options{Source: newSource(), Clock: func() time.Duration { return time.Duration(clock.Load()) }})
+	g.Expect(err).NotTo(HaveOccurred())
+	c.SetTable(testTable(1), "test")
+	g.Expect(c.fresh()).To(BeFalse(), "nothing was heard yet")
+	c.heardOfTable()
+	c.setServers(nil, 1)
+	g.Expect(c.fresh()).To(BeTrue())
+	clock.Add(int64(5 * time.Second)) // the steady clock stands still meanwhile
+	g.Expect(c.fresh()).To(BeFalse())
+	g.Expect(c.stateAfter(position{}).Age).To(Equal(5 * time.Second))
+}
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/arbutusgauge/arbutusgauge/internal/lead"
 	"github.com/arbutusgauge/arbutusgauge/internal/routing"
 	"github.com/arbutusgauge/arbutusgauge/internal/wire"
 )
@@ -44,6 +45,9 @@
 	// Server is nil when the entry was removed, or when it can't be read and
 	// so names no server to use.
 	Server *Server
+	// Revision of the source that made the change; 0 for a conclusion of this
+	// tier, such as a lapsed entry that did not come back.
+	Revision uint64
 }
 
 // Source is where the operators and the servers write. Its reads are
@@ -61,6 +65,21 @@
 	WatchServers(ctx context.Context, after uint64, wait time.Duration) (ServerChanges, error)
 }
 
+// Relay knows the hosts that follow the source for others.
+type Relay interface {
+	// Leads reports whether this host follows the source itself.
+	Leads() bool
+	// Peers returns the addresses of hosts that do, in the order of preference.
+	Peers() []string
+	// Orphaned says that none of them has fresh knowledge.
+	Orphaned()
+	// Asked notes that a host, with its processor share in cores, follows this one.
+	Asked(name string, cores float64)
+	// Fleet and Learn pass on what is known of all hosts.
+	Fleet() lead.Fleet
+	Learn(fleet lead.Fleet)
+}
+
 // HistoryGoneError reports that the source no longer holds the changes since a
 // revision, so that everything must be read anew.
 type HistoryGoneError struct{ After uint64 }
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -18,10 +18,12 @@
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/arbutusgauge/arbutusgauge/internal/aggregate"
+	"github.com/arbutusgauge/arbutusgauge/internal/boottime"
 	"github.com/arbutusgauge/arbutusgauge/internal/catalog"
 	"github.com/arbutusgauge/arbutusgauge/internal/gateway"
+	"github.com/arbutusgauge/arbutusgauge/internal/lead"
 	"github.com/arbutusgauge/arbutusgauge/internal/owner"
-	"github.com/arbutusgauge/arbutusgauge/internal/presence"
 	"github.com/arbutusgauge/arbutusgauge/internal/scatter"
 	"github.com/arbutusgauge/arbutusgauge/internal/textmetrics"
 	"github.com/arbutusgauge/arbutusgauge/internal/wire"
@@ -40,13 +42,14 @@
 	extraLoad  float64
 	extraBurst int
 
-	catalog   *catalog.Catalog
-	presence  *presence.Agent
-	owner     *owner.Owner
-	engine    *scatter.Engine
-	front     *platform.Front
-	reach     *reach
-	followers followers
+	catalog *catalog.Catalog
+	lead    *lead.Agent
+	hosts   lead.Count // used by one callback at a time
+	owner   *owner.Owner
+	engine  *scatter.Engine
+	gateway *gateway.Gateway
+	front   *platform.Front
+	reach   *reach
 
 	servers []*server
 }
@@ -76,30 +79,34 @@
 }
 
 func (h *Host) newCatalog() error {
-	h.followers = followers{host: h.settings.Host, dataCentre: h.settings.DataCentre}
 	store := platform.NewStore(h.settings.Store, h.scope.SubScope("store"), h.log)
 	var err error
+	h.lead, err = lead.New(lead.Options{
+		Registry: platform.NewRegistry(store),
+		Host: lead.Host{
+			Name: h.settings.Host, DataCentre: h.settings.DataCentre, Peers: h.settings.Peers, Cores: h.settings.Cores,
+		},
+		OnFleet: func(fleet lead.Fleet) {
+			hosts := h.hosts.Update(fleet.Hosts(), time.Now())
+			h.catalog.SetShare(shareOf(fleet, hosts, h.settings.Host))
+		},
+		Logger: h.log,
+	})
+	if err != nil {
+		return err
+	}
 	h.catalog, err = catalog.New(catalog.Options{
 		Source:       store,
 		AnswerMargin: answerMargin,
-		Relay:        h.followers.relay,
+		Relay:        h.lead,
+		Name:         h.settings.Host,
+		Cores:        h.settings.Cores,
+		Clock:        boottime.Now,
 		ExtraLoad:    h.settings.ExtraLoad * extraShare,
 		ExtraBurst:   int(float64(h.settings.ExtraBurst) * extraShare),
 		Scope:        h.scope.SubScope("catalog"),
 		Logger:       h.log,
 	})
-	if err != nil {
-		return err
-	}
-	h.presence, err = presence.New(presence.Options{
-		Registry: platform.NewRegistry(store),
-		Host:     presence.Host{Name: h.settings.Host, DataCentre: h.settings.DataCentre, Peers: h.settings.Peers},
-		OnHosts: func(hosts []presence.Host) {
-			h.followers.set(hosts)
-			h.catalog.SetHosts(len(hosts))
-		},
-		Logger: h.log,
-	})
 	return err
 }
 
@@ -156,11 +163,19 @@
 }
 
 func (h *Host) newFront() error {
-	g, err := gateway.New(gateway.Options{Engine: h.engine, View: h.catalog.View, Scope: h.scope.SubScope("gateway")})
+	forwarder := aggregate.New(aggregate.Options{
+		Peers:  func() [][]string { return aggregators(h.lead.Fleet(), h.settings.DataCentre, h.settings.Cores) },
+		Scope:  h.scope.SubScope("aggregate"),
+		Logger: h.log,
+	})
+	var err error
+	h.gateway, err = gateway.New(gateway.Options{
+		Engine: h.engine, View: h.catalog.View, Forwarder: forwarder, Behind: h.catalog.CatchUp, Scope: h.scope.SubScope("gateway"),
+	})
 	if err != nil {
 		return err
 	}
-	h.front = platform.NewFront(g, h.catalog.View, h.leaving, h.log)
+	h.front = platform.NewFront(h.gateway, h.catalog.View, h.leaving, h.log)
 	return nil
 }
 
@@ -180,6 +195,12 @@
 	readiness.GET(platform.PathReady, h.ready)
 	peers := echo.New()
 	peers.GET(catalog.PathState, echo.WrapHandler(http.HandlerFunc(h.catalog.ServeState)))
+	queries := aggregate.NewServer(h.gateway, h.scope.SubScope("aggregate"), h.log)
+	peers.POST(aggregate.PathQuery, func(c echo.Context) error {
+		// echo takes an interim response for the final one.
+		queries.ServeHTTP(c.Response().Writer, c.Request())
+		return nil
+	})
 	metrics := echo.New()
 	metrics.GET("/metrics", func(c echo.Context) error {
 		_, err := h.metrics.WriteTo(c.Response())
@@ -226,7 +247,7 @@
 	var group run.Group
 	h.addStop(&group, ctx)
 	for _, actor := range []func(context.Context) error{
-		h.owner.Run, h.catalog.Run, h.presence.Run,
+		h.owner.Run, h.catalog.Run, h.lead.Run,
 		func(ctx context.Context) error { return h.catalog.StartFromPeers(ctx, h.settings.Seeds) },
 		func(ctx context.Context) error { return h.watchSettings(ctx, changed) },
 	} {
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -19,6 +19,32 @@
 // Error implements error.
 func (*NoTimeError) Error() string { return "no time is left for the request" }
 
+// NotTakenError reports that no other host has taken a query on.
+type NotTakenError struct{ Err error }
+
+// Error implements error.
+func (e *NotTakenError) Error() string {
+	if e.Err == nil {
+		return "no host to hand the query to"
+	}
+	return "query not handed on: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *NotTakenError) Unwrap() error { return e.Err }
+
+// PeerFailedError reports a query that failed at another host.
+type PeerFailedError struct {
+	Peer    string
+	Failure Failure
+	Reason  string
+}
+
+// Error implements error.
+func (e *PeerFailedError) Error() string {
+	return "query at peer " + e.Peer + " failed, " + string(e.Failure) + ": " + e.Reason
+}
+
 // OptionError reports a missing option.
 type OptionError struct{ Option string }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,7 @@
 	Coverage float64
 	Missing  []scatter.Missing // why parts are left out
 	Work     scatter.Work
+	Peer     string // that answered in place of this host; "": none
 }
 
 // Do answers a request. Its errors are those of this package and of scatter.
@@ -89,14 +90,51 @@
 		return nil, &NoTimeError{}
 	}
 	result.Service = serviceOf(route)
-	found, err := g.options.Engine.Run(ctx, scatter.Query{
-		Config:     view.Config,
-		Service:    result.Service,
-		Search:     route.Name,
-		Deadline:   left,
-		Repeatable: route.Repeatable,
-		Payload:    request.Payload(route.Merged()),
-	})
+	payload := request.Payload(route.Merged())
+	if route.Merged() && g.options.Forwarder != nil {
+		answer, taken, err := g.forward(ctx, request, result, Forwarded{
+			ID: request.ID, Host: request.Host, Path: request.Path, Version: view.Table.Version,
+			Left: left, Used: used, Payload: payload,
+		})
+		if taken || err != nil {
+			return answer, err
+		}
+		left -= time.Since(request.Arrived) - used
+		used = time.Since(request.Arrived)
+	}
+	return g.runHere(ctx, view, scatter.Query{Deadline: left, Used: used, Payload: payload}, result)
+}
+
+// forward hands a merged query to another host; taken reports that one has
+// taken it on, so that it must not run here as well.
+func (g *Gateway) forward(ctx context.Context, request *Request, result *Result, query Forwarded) (answer *Answer, taken bool, err error) {
+	outcome, err := g.options.Forwarder.Forward(ctx, &query)
+	var notTaken *NotTakenError
+	switch {
+	case errors.As(err, &notTaken):
+		return nil, false, nil
+	case err != nil:
+		return nil, false, err
+	}
+	result.Peer = outcome.Peer
+	result.Coverage, result.Missing, result.Work = outcome.Coverage, outcome.Missing, outcome.Work
+	if outcome.Version > query.Version {
+		result.Version = outcome.Version
+		if g.options.Behind != nil {
+			g.options.Behind(outcome.Peer)
+		}
+	}
+	if outcome.Failure != "" {
+		return nil, true, &PeerFailedError{Peer: outcome.Peer, Failure: outcome.Failure, Reason: outcome.Reason}
+	}
+	return &Answer{Merged: true, Proofs: outcome.Proofs, Missing: outcome.Shards, Records: outcome.Records}, true, nil
+}
+
+// runHere runs a query on this host.
+func (g *Gateway) runHere(ctx context.Context, view *catalog.View, query scatter.Query, result *Result) (*Answer, error) {
+	route := result.Route
+	query.Config, query.Service, query.Search, query.Repeatable = view.Config, result.Service, route.Name, route.Repeatable
+	found, err := g.options.Engine.Run(ctx, query)
 	if err != nil {
 		result.Work, result.Coverage = workOf(err)
 		return nil, err
@@ -105,6 +143,52 @@
 	return answerOf(route, found), nil
 }
 
+// Version returns that of the routing table in force, 0 while none is known.
+func (g *Gateway) Version() uint64 {
+	view := g.options.View()
+	if view == nil {
+		return 0
+	}
+	return view.Table.Version
+}
+
+// Serve answers a merged query for another host.
+func (g *Gateway) Serve(ctx context.Context, query *Forwarded) *Outcome {
+	view := g.options.View()
+	if view == nil {
+		return &Outcome{Failure: FailedNotRun, Reason: (&NotReadyError{}).Error()}
+	}
+	route := view.Table.Match(query.Host, query.Path)
+	if route == nil || !route.Merged() {
+		return &Outcome{Failure: FailedNotRun, Version: view.Table.Version, Reason: (&NoRouteError{Host: query.Host, Path: query.Path}).Error()}
+	}
+	result := Result{Route: route, Version: view.Table.Version, Service: serviceOf(route)}
+	answer, err := g.runHere(ctx, view, scatter.Query{Deadline: query.Left, Used: query.Used, Payload: query.Payload}, &result)
+	outcome := &Outcome{Version: result.Version, Coverage: result.Coverage, Missing: result.Missing, Work: result.Work}
+	if err != nil {
+		outcome.Failure, outcome.Reason = failureOf(err), err.Error()
+		return outcome
+	}
+	outcome.Proofs, outcome.Shards, outcome.Records = answer.Proofs, answer.Missing, answer.Records
+	return outcome
+}
+
+// failureOf tells another host what an error of a query proves.
+func failureOf(err error) Failure {
+	var (
+		notRun *scatter.NotRunError
+		below  *scatter.BelowCoverageError
+	)
+	switch {
+	case errors.As(err, &notRun):
+		return FailedNotRun
+	case errors.As(err, &below):
+		return FailedCoverage
+	default:
+		return FailedUnknown
+	}
+}
+
 // firstView returns the present view. A host that has just started waits for
 // its first one for a short time, because it usually arrives within that.
 func (g *Gateway) firstView(ctx context.Context) *catalog.View {
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -39,9 +39,55 @@
 	Single  []byte   // the replica's response as the adapter encoded it
 }
 
+// Forwarded is a merged query that another host answers.
+type Forwarded struct {
+	ID      string        `json:"id"`
+	Host    string        `json:"host"`
+	Path    string        `json:"path"`
+	Version uint64        `json:"version"` // of the sender's routing table
+	Left    time.Duration `json:"left"`    // until the answer is of no use
+	Used    time.Duration `json:"used"`    // since the caller's request arrived
+	Payload []byte        `json:"payload"`
+}
+
+// Failure says how a forwarded query failed; "" means that it was answered.
+type Failure string
+
+// Failures.
+const (
+	FailedNotRun   Failure = "not run"        // provably nothing ran
+	FailedCoverage Failure = "below coverage" // it ran and reached too few shards
+	FailedUnknown  Failure = "unknown"        // it may have run
+)
+
+// Outcome is what became of a forwarded query.
+type Outcome struct {
+	Failure  Failure           `json:"failure,omitempty"`
+	Reason   string            `json:"reason,omitempty"`  // of the failure
+	Version  uint64            `json:"version,omitempty"` // of the routing table that decided
+	Proofs   []string          `json:"proofs,omitempty"`
+	Shards   int               `json:"shards,omitempty"` // without a part
+	Records  []byte            `json:"records,omitempty"`
+	Coverage float64           `json:"coverage"`
+	Missing  []scatter.Missing `json:"missing,omitempty"` // why parts are left out
+	Work     scatter.Work      `json:"work"`
+	Peer     string            `json:"-"` // that answered
+}
+
+// Forwarder hands merged queries to a larger host.
+type Forwarder interface {
+	// Forward returns what another host made of a query. *NotTakenError means
+	// that none has taken it on, so that this host may answer it.
+	Forward(ctx context.Context, query *Forwarded) (*Outcome, error)
+}
+
 // Options configure a Gateway.
 type Options struct {
 	Engine Engine
+	// Forwarder may answer merged queries in place of this host; nil: none does.
+	Forwarder Forwarder
+	// Behind is told that a peer answered by a newer routing table; it may be nil.
+	Behind func(peer string)
 	// View returns the present state of the deployment, nil while none is known.
 	View  func() *catalog.View
 	Scope tally.Scope // default: no metrics
--- a/internal/owner/replica.go
+++ b/internal/owner/replica.go
@@ -50,7 +50,7 @@
 	r.shard = shard
 	r.slots = max(1, int(service.Slots))
 	r.connLimit = int(service.Connections)
-	r.far = service.NearConnections && r.dataCentre.name != r.owner.options.DataCentre
+	r.far = service.OnDemand || service.NearConnections && r.dataCentre.name != r.owner.options.DataCentre
 	r.vanished = false
 	r.group = group
 	if r.health.ejectedUntil.After(now) {
--- a/internal/release/types.go
+++ b/internal/release/types.go
@@ -46,8 +46,11 @@
 	ExtraPerShard bool `json:"extra_per_shard,omitempty"`
 	// NearConnections keeps warm connections to replicas of the own data centre
 	// only, because the entry hosts are too many for the limit of a replica.
-	NearConnections bool    `json:"near_connections,omitempty"`
-	Shards          []Shard `json:"shards"`
+	NearConnections bool `json:"near_connections,omitempty"`
+	// OnDemand opens connections only for work, because another host usually
+	// answers in place of this one.
+	OnDemand bool    `json:"on_demand,omitempty"`
+	Shards   []Shard `json:"shards"`
 }
 
 // Shard is a part of a service that holds one range of ledgers.
--- a/internal/scatter/query.go
+++ b/internal/scatter/query.go
@@ -92,7 +92,7 @@
 	}
 	q.deadline, q.goalAt = q.began.Add(limit), q.began.Add(limit)
 	if q.search.Wait == release.WaitLatency && q.search.LatencyGoal > 0 {
-		q.goalAt = q.began.Add(min(limit, q.search.LatencyGoal.D()))
+		q.goalAt = q.began.Add(min(limit, q.search.LatencyGoal.D()-request.Used))
 	}
 	q.service = e.service(request.Service)
 	q.latency = q.service.latencyOf(request.Search)
--- a/internal/scatter/types.go
+++ b/internal/scatter/types.go
@@ -37,6 +37,9 @@
 	// Deadline is the time allowed; 0 or more than the search's means the
 	// search's.
 	Deadline time.Duration
+	// Used is the time that passed before the query came here; it counts against
+	// the latency goal.
+	Used time.Duration
 	// LeastCoverage is a fraction of 0 to 1; it can only raise the search's.
 	LeastCoverage float64
 	// Repeatable allows hedges and retries after an unknown outcome. The
