--- a/internal/lead/agent.go
+++ b/internal/lead/agent.go
@@ -306,17 +306,31 @@
 	if len(seats) > 0 {
 		a.probedAt = time.Now()
 	}
-	number := a.wanted(a.fleet)
+	number := a.former(seats)
+	if number == 0 {
+		number = a.wanted(a.fleet)
+	}
 	if number == 0 {
 		number = a.replacement(time.Now())
 	}
-	holder := a.fleet.seat(a.options.Host.DataCentre, number)
 	a.mu.Unlock()
 	if number != 0 {
+		holder := Fleet{Seats: seats}.seat(a.options.Host.DataCentre, number)
 		a.take(limit, number, holder.Revision)
 	}
 }
 
+// former returns the seat that an earlier process of this host holds, 0 for
+// none. Nobody answers there until this process takes it.
+func (a *Agent) former(seats []Seat) int {
+	for _, seat := range seats {
+		if seat.Name == a.options.Host.Name && seat.DataCentre == a.options.Host.DataCentre {
+			return seat.Number
+		}
+	}
+	return 0
+}
+
 // replacement returns the seat to take over when no leader can be followed:
 // the first one of the data centre, unless its holder may still be starting. The
 // caller holds mu.
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -312,6 +312,37 @@
 	})
 }
 
+// Guards against hosts that wait for the leases of processes that are gone, when
+// all hosts lost power and are back: found as the worst seconds of a grown day.
+func TestRestartedHostsTakeTheirSeatsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := grown(t)
+		names := []string{}
+		for name := range f.hosts {
+			names = append(names, name)
+		}
+		for _, name := range names {
+			f.kill(name)
+		}
+		time.Sleep(1200 * time.Millisecond)
+		f.store.mu.Lock()
+		f.store.refuses = map[string]bool{}
+		f.store.mu.Unlock()
+		f.calls()
+		for i := range 79 {
+			cores := 0.192
+			if i < 6 {
+				cores = 0.8
+			}
+			f.add(fmt.Sprintf("h%02d", i), []string{"badin", "thatta", "tando"}[i%3], cores)
+		}
+		defer f.stop()
+		time.Sleep(300 * time.Millisecond)
+		f.g.Expect(f.leaders()).To(HaveLen(3))
+		f.g.Expect(f.calls()).To(BeNumerically("<", 3*79))
+	})
+}
+
 // Guards against a seat that stays taken after a stop.
 func TestStopGivesTheSeatUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
