--- a/internal/lead/agent.go
+++ b/internal/lead/agent.go
@@ -261,8 +261,8 @@
 				a.rewrite(ctx)
 				publishAt = now.Add(publishEvery)
 			}
-		} else if a.probeDue(now) {
-			a.probe(ctx)
+		}
+		if a.probeDue(now) && a.probe(ctx) {
 			renewAt, listAt = now.Add(renewEvery), now.Add(firstList)
 		}
 		sleep(ctx, tick)
@@ -295,34 +295,43 @@
 		return false
 	}
 	a.probeAt = time.Time{}
-	return !a.orphanAt.IsZero() || a.wanted(a.fleet) != 0
+	return !a.orphanAt.IsZero() && !a.leads() || a.mine == nil && a.wanted(a.fleet) != 0
 }
 
-// probe looks at the seats and takes one if it should.
-func (a *Agent) probe(ctx context.Context) {
+// probe looks at the seats and takes one if it should. It reports whether it did.
+func (a *Agent) probe(ctx context.Context) bool {
 	limit, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	seats, err := a.options.Registry.Seats(limit, false)
 	if a.noted(ctx, err) {
-		return
+		return false
 	}
 	a.mu.Lock()
 	a.set(Fleet{Seats: seats})
 	if len(seats) > 0 {
 		a.probedAt = time.Now()
 	}
-	number := a.former(seats)
-	if number == 0 {
-		number = a.wanted(a.fleet)
-	}
+	number := a.choose(seats, time.Now())
+	a.mu.Unlock()
 	if number == 0 {
-		number = a.replacement(time.Now())
+		return false
 	}
-	a.mu.Unlock()
-	if number != 0 {
-		holder := Fleet{Seats: seats}.seat(a.options.Host.DataCentre, number)
-		a.take(limit, number, holder.Revision)
+	holder := Fleet{Seats: seats}.seat(a.options.Host.DataCentre, number)
+	return a.take(limit, number, holder.Revision)
+}
+
+// choose returns the seat that this host should take, 0 for none. The caller
+// holds mu.
+func (a *Agent) choose(seats []Seat, now time.Time) int {
+	if a.mine == nil {
+		if number := a.former(seats); number != 0 {
+			return number
+		}
+		if number := a.wanted(a.fleet); number != 0 {
+			return number
+		}
 	}
+	return a.replacement(now)
 }
 
 // former returns the seat that an earlier process of this host holds, 0 for
@@ -340,13 +349,15 @@
 // the first one of the data centre, unless its holder may still be starting. The
 // caller holds mu.
 func (a *Agent) replacement(now time.Time) int {
-	if a.orphanAt.IsZero() || a.options.Host.Peers == "" || now.Sub(a.firstAt) < takeOverAfter {
+	if a.orphanAt.IsZero() || a.leads() || a.options.Host.Peers == "" || now.Sub(a.firstAt) < takeOverAfter {
 		return 0
 	}
 	return a.fleet.first(a.options.Host.DataCentre).Number
 }
 
-func (a *Agent) take(ctx context.Context, number int, revision uint64) {
+// take takes a seat and reports whether it did. An earlier one is left to the end
+// of its lease.
+func (a *Agent) take(ctx context.Context, number int, revision uint64) bool {
 	seat := Seat{Host: a.options.Host, Number: number, Hosts: 1, LeastCores: a.options.Host.Cores}
 	next, err := a.options.Registry.Take(ctx, seat, revision)
 	var taken *TakenError
@@ -355,10 +366,10 @@
 		a.mu.Lock()
 		a.probeAt = time.Now().Add(tick)
 		a.mu.Unlock()
-		return
+		return false
 	}
 	if a.noted(ctx, err) {
-		return
+		return false
 	}
 	seat.Revision = next
 	a.mu.Lock()
@@ -367,6 +378,7 @@
 	leads := a.leads()
 	a.mu.Unlock()
 	a.options.Logger.WithFields(log.Fields{"seat": number, "leads": leads, "replaced_revision": revision}).Info("seat taken")
+	return true
 }
 
 // noted logs when the registry is lost and regained, and schedules another look
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -298,32 +298,38 @@
 		hosts int
 		bound time.Duration
 	}{"nine hosts": {9, 1500 * time.Millisecond}, "79 hosts, 5 s allowed": {79, 3500 * time.Millisecond}} {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newFleet(t)
-				for i := range size.hosts {
-					f.add(fmt.Sprintf("h%02d", i), []string{"badin", "thatta", "tando"}[i%3], 0.4)
-				}
-				defer f.stop()
-				time.Sleep(20 * time.Second)
-				f.store.mu.Lock()
-				for _, seat := range f.hosts["h00"].agent.Fleet().Leaders() {
-					f.store.refuses[seat.Name] = true
-				}
-				f.store.mu.Unlock()
-				time.Sleep(size.bound)
-				for name, m := range f.hosts {
-					if !f.fresh(name) {
-						continue
-					}
-					known := m.agent.Leads()
-					for _, peer := range m.agent.Peers() {
-						known = known || f.fresh(peer) && f.member(peer).agent.Leads()
-					}
-					f.g.Expect(known).To(BeTrue(), name+" has no leader to follow")
-				}
+		for phase := range 6 {
+			t.Run(fmt.Sprint(name, ", phase ", phase), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					refuseLeaders(t, size.hosts, time.Duration(phase)*700*time.Millisecond, size.bound)
+				})
 			})
-		})
+		}
+	}
+}
+
+func refuseLeaders(t *testing.T, hosts int, phase, bound time.Duration) {
+	f := newFleet(t)
+	for i := range hosts {
+		f.add(fmt.Sprintf("h%02d", i), []string{"badin", "thatta", "tando"}[i%3], 0.4)
+	}
+	defer f.stop()
+	time.Sleep(20*time.Second + phase)
+	f.store.mu.Lock()
+	for _, seat := range f.hosts["h00"].agent.Fleet().Leaders() {
+		f.store.refuses[seat.Name] = true
+	}
+	f.store.mu.Unlock()
+	time.Sleep(bound)
+	for name, m := range f.hosts {
+		if !f.fresh(name) {
+			continue
+		}
+		known := m.agent.Leads()
+		for _, peer := range m.agent.Peers() {
+			known = known || f.fresh(peer) && f.member(peer).agent.Leads()
+		}
+		f.g.Expect(known).To(BeTrue(), name+" has no leader to follow")
 	}
 }
 
