--- a/internal/procs/deployment.go
+++ b/internal/procs/deployment.go
@@ -154,7 +154,7 @@
 
 func (d *Deployment) startPlatform() error {
 	var err error
-	d.Platform, err = start("platform", d.opts.Dir, d.program("standin-platform"), "--listen", d.PlatformAddr())
+	d.Platform, err = StartProcess("platform", d.opts.Dir, d.program("standin-platform"), "--listen", d.PlatformAddr())
 	return err
 }
 
@@ -165,7 +165,7 @@
 func (d *Deployment) startBackends() error {
 	for _, name := range d.opts.DataCentres {
 		args := []string{"--note", d.NoteFile, "--data-centre", name, "--admin", d.BackendAdmin(name)}
-		p, err := start("backend-"+name, d.opts.Dir, d.program("standin-backend"), append(args, d.opts.Backend...)...)
+		p, err := StartProcess("backend-"+name, d.opts.Dir, d.program("standin-backend"), append(args, d.opts.Backend...)...)
 		if err != nil {
 			return err
 		}
@@ -221,7 +221,7 @@
 	if err := d.writeJSON(file, d.entries[name]); err != nil {
 		return err
 	}
-	p, err := start(name, d.opts.Dir, d.program("entryd"), "--settings", file)
+	p, err := StartProcess(name, d.opts.Dir, d.program("entryd"), "--settings", file)
 	if err != nil {
 		return err
 	}
--- a/internal/procs/process.go
+++ b/internal/procs/process.go
@@ -57,8 +57,8 @@
 // Unwrap returns the cause.
 func (e *PortError) Unwrap() error { return e.Err }
 
-// start runs a program with its output in a log file of dir.
-func start(name, dir, program string, args ...string) (*Process, error) {
+// StartProcess runs a program with its output in a log file of dir.
+func StartProcess(name, dir, program string, args ...string) (*Process, error) {
 	file, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return nil, errors.WithStack(err)
