Read the store at the start of a host that no peer answers

Change: a host that has no table 20 ms after its start reads table and servers once itself; hosts that join a running fleet hear from a seed before that. TestHostThatStartsAloneReadsTheSource has no table without the change.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -110,6 +110,13 @@
 	c.takeList(list, revision, now)
 }
 
+// takeFirst is setServers for a host that starts, unless it knows more by now.
+func (c *Catalog) takeFirst(list []Server, revision uint64) {
+	if !c.knowsBeyond(revision) {
+		c.setServers(list, revision)
+	}
+}
+
 // takeList takes a full list. The caller holds mu.
 func (c *Catalog) takeList(list []Server, revision uint64, now time.Time) {
 	c.revision = revision
--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -14,11 +14,48 @@
 	group.Go(func() { c.follow(ctx, "table", c.tableStep()) })
 	group.Go(func() { c.follow(ctx, "servers", c.serversStep()) })
 	group.Go(func() { c.expireLoop(ctx) })
-	group.Go(func() { c.followPeer(ctx) })
+	if c.options.Relay != nil {
+		group.Go(func() { c.followPeer(ctx) })
+		group.Go(func() { c.startFromSource(ctx) })
+	}
 	group.Wait()
 	return nil
 }
 
+// startAlone is how long a host that starts waits for the state of a peer before
+// it reads the source itself. When all hosts start, none has anything to tell,
+// and finding a leader takes several calls.
+const startAlone = 20 * time.Millisecond
+
+// startFromSource reads the source once if no peer has given a table. What fails
+// here is tried again by the host that leads.
+func (c *Catalog) startFromSource(ctx context.Context) {
+	sleep(ctx, startAlone)
+	if c.View() != nil || ctx.Err() != nil {
+		return
+	}
+	var group sync.WaitGroup
+	defer group.Wait()
+	for what, read := range map[string]step{"table": c.tableStep(), "servers": c.readServers} {
+		group.Go(func() {
+			if err := read(ctx); err != nil && ctx.Err() == nil {
+				c.options.Logger.WithError(err).WithField("what", what).Info("source not read at the start")
+			}
+		})
+	}
+}
+
+func (c *Catalog) readServers(ctx context.Context) error {
+	limit, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
+	defer cancel()
+	list, revision, err := c.options.Source.Servers(limit)
+	if err != nil {
+		return err
+	}
+	c.takeFirst(list, revision)
+	return nil
+}
+
 // expirePeriod is the time between two looks at the lapsed servers.
 const expirePeriod = 200 * time.Millisecond
 
--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -227,9 +227,6 @@
 // followPeer asks the peers in turn while this host does not lead, or while the
 // source does not answer it.
 func (c *Catalog) followPeer(ctx context.Context) {
-	if c.options.Relay == nil {
-		return
-	}
 	p := newPeers()
 	defer p.client.CloseIdleConnections()
 	for ctx.Err() == nil {
--- a/internal/catalog/relay_test.go
+++ b/internal/catalog/relay_test.go
@@ -81,9 +81,17 @@
 	t.Cleanup(group.Wait)
 	t.Cleanup(cancel)
 	g.Eventually(p.follower.View, "2s").ShouldNot(BeNil())
+	p.forgetStart()
 	return p
 }
 
+// forgetStart leaves the reads of the follower's start out of the count: a slow
+// machine may give it no answer of its peer within startAlone.
+func (p *pair) forgetStart() {
+	time.Sleep(5 * startAlone)
+	p.followSrc.set(func(s *fakeSource) { s.calls = 0 })
+}
+
 // write changes the source of both hosts.
 func (p *pair) write(version uint64) { p.leaderSrc.write(version); p.followSrc.write(version) }
 
@@ -189,6 +197,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	go func() { _ = follower.Run(ctx) }()
 	g.Eventually(follower.View, "2s").ShouldNot(BeNil())
+	p.forgetStart()
 	p.leaderSrc.write(7)
 	g.Eventually(func() uint64 { return follower.View().Table.Version }, inTime).Should(BeEquivalentTo(7))
 	g.Expect(relay.orphan.Load()).To(BeZero())
@@ -234,3 +243,26 @@
 	g.Expect(c.fresh()).To(BeFalse())
 	g.Expect(c.stateAfter(position{}).Age).To(Equal(5 * time.Second))
 }
+
+// Guards against hosts that start together and wait for one of them to lead
+// before they know a table: found as the worst seconds after a power loss.
+func TestHostThatStartsAloneReadsTheSource(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	src := newSource()
+	src.write(4)
+	src.put(server("i-1", "a"))
+	c, err := New(Options{Source: src, Relay: &fakeRelay{}})
+	g.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = c.Run(ctx) }()
+	g.Eventually(func() int {
+		if c.View() == nil {
+			return 0
+		}
+		return len(replicas(c))
+	}, "200ms", "5ms").Should(Equal(1))
+	time.Sleep(time.Second)
+	src.set(func(s *fakeSource) { g.Expect(s.calls).To(Equal(2)) })
+}
