Count a replica on which a part ran, also after it refuses the part

A part that was sent again to a replica on which it had run was refused there, and the refusal took the replica off those that it may have run on, so that a third one was tried.

Change: replicas on which an ended attempt may have run stay counted. TestRefusalDoesNotUndoAnEarlierRun reaches five replicas without the change. The first read of a host that starts is checked against what it knows under one lock.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -112,9 +112,14 @@
 
 // takeFirst is setServers for a host that starts, unless it knows more by now.
 func (c *Catalog) takeFirst(list []Server, revision uint64) {
-	if !c.knowsBeyond(revision) {
-		c.setServers(list, revision)
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.revision > revision {
+		return
 	}
+	c.heardServers = c.options.Clock()
+	c.takeList(list, revision, now)
 }
 
 // takeList takes a full list. The caller holds mu.
--- a/internal/scatter/attempt.go
+++ b/internal/scatter/attempt.go
@@ -298,6 +298,7 @@
 	q.work.Cancelled++
 	q.parts[index].outstanding--
 	q.parts[index].running &^= a.replica.bit()
+	q.parts[index].spent |= a.replica.bit()
 }
 
 // cancelOutstanding withdraws all attempts. Before the time at which a query
--- a/internal/scatter/direct_test.go
+++ b/internal/scatter/direct_test.go
@@ -124,6 +124,32 @@
 	})
 }
 
+// Guards against a third replica after one of two that ran the request refuses
+// it when it is sent there again: found as BUDGET on trouble-3 of
+// huber-suche-grown.
+func TestRefusalDoesNotUndoAnEarlierRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var mu sync.Mutex
+		ran := map[wire.ReplicaID]bool{}
+		sender := &fakeSender{behave: func(sub wire.Sub) (time.Duration, wire.Reply, bool) {
+			mu.Lock()
+			defer mu.Unlock()
+			if ran[sub.Replica] {
+				return time.Millisecond, refusal(sub, wire.NotRun, wire.ReasonShed), false
+			}
+			ran[sub.Replica] = true
+			return time.Millisecond, refusal(sub, wire.Unknown, wire.ReasonServerError), true
+		}}
+		config := directConfig(1, 5)
+		config.Services["mill"].ExtraBurst = 50
+		_, err := testEngine(t, sender, nil).Run(t.Context(), tours(config))
+		g.Expect(err).To(HaveOccurred())
+		g.Expect(ran).To(HaveLen(2))
+		g.Expect(len(sender.sent)).To(BeNumerically(">", 2))
+	})
+}
+
 // Guards against a query that runs where it can't succeed: a host that is cut
 // off refuses it before any part runs, so that another host may answer.
 func TestUnreachableCoverageIsRefusedBeforeRunning(t *testing.T) {
--- a/internal/scatter/gather.go
+++ b/internal/scatter/gather.go
@@ -97,6 +97,7 @@
 	p := &q.parts[a.part]
 	if reply.Outcome == wire.Answered {
 		q.answered = true
+		p.spent |= a.replica.bit()
 		q.latency.record(now.Sub(a.sentAt))
 		if q.take(p, a, reply) {
 			q.complete(a.part, now)
@@ -157,8 +158,12 @@
 		// The owner kept it back: it reached no replica.
 		p.shard.budget.refund()
 	}
-	if reply.Outcome == wire.NotRun && p.running&a.replica.bit() == 0 {
-		p.reached &^= a.replica.bit()
+	switch bit := a.replica.bit(); {
+	case reply.Outcome != wire.NotRun:
+		p.spent |= bit
+	case (p.running|p.spent)&bit == 0:
+		// An earlier attempt on the same replica may have run.
+		p.reached &^= bit
 	}
 	if reply.Outcome == wire.Unknown {
 		q.mayRun = true
--- a/internal/scatter/plan.go
+++ b/internal/scatter/plan.go
@@ -19,7 +19,8 @@
 	tried       uint64 // bit per replica of the shard, in this round of tries
 	running     uint64 // bit per replica with an outstanding attempt
 	outstanding int
-	reached     uint64    // bit per replica on which an attempt may have run
+	reached     uint64    // bit per replica on which an attempt may have run or runs
+	spent       uint64    // bit per replica on which an ended attempt may have run
 	rounds      int       // times that all replicas were tried
 	nextAt      time.Time // when to hedge or retry; zero means never
 	stuck       bool      // waits for a restart
