Survive the loss of a seat during a call, take no query while stopping

A peer can tell of the loss of a seat while its holder renews or rewrites it; the holder then read a seat that it no longer had, and the process ended (TestSeatLostDuringACall panics without the change). A stopping host still took queries of its peers and cut those that ran at its end, which their callers saw as 502.

Change: losses of the seat go through one function that expects it to be gone; a stopping host takes no query on (TestLeavingPeerTakesNothing).

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 FUZZ_PACKAGES ?= ./internal/proof ./internal/owner ./internal/scatter ./internal/rollout
 FUZZ_TIMEOUT ?= 2h
 
-.PHONY: build demo test bench capacity fuzz lint format generate generate-check
+.PHONY: build demo test bench capacity fuzz soak lint format generate generate-check
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -34,6 +34,13 @@
 	$(GO) test -count=1 -timeout $(FUZZ_TIMEOUT) $(FUZZ_PACKAGES) -run 'Stateful|AgainstOracle|UnderFaults' \
 		-rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
 
+# Runs edged as real processes under random faults, several seeds at a time:
+# make soak SEED=100 SEEDS=50. A seed that fails goes into failedSeeds of
+# platform/soak_test.go with a line on its cause.
+SEEDS ?= 8
+soak:
+	$(GO) test ./platform -run '^TestSoak$$' -count 1 -timeout 30m -v -parallel 8 -soak.seed $(SEED) -soak.seeds $(SEEDS)
+
 # Measures what each duty of a host costs by size: a table and JSON lines.
 CAPACITY_LINES = $(CURDIR)/out/capacity.jsonl
 CAPACITY_CORES ?= 4
--- a/internal/aggregate/aggregate_test.go
+++ b/internal/aggregate/aggregate_test.go
@@ -42,9 +42,11 @@
 	return &gateway.Outcome{Version: f.version, Proofs: []string{"p-" + query.ID}, Records: query.Payload, Coverage: 1}
 }
 
+func staying() bool { return false }
+
 // start serves a runner at an address.
 func start(t *testing.T, runner Runner) string {
-	server := httptest.NewServer(NewServer(runner, tally.NoopScope, &log.Logger{Handler: discard.Default}))
+	server := httptest.NewServer(NewServer(runner, staying, tally.NoopScope, &log.Logger{Handler: discard.Default}))
 	t.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://")
 }
@@ -114,7 +116,7 @@
 	t.Parallel()
 	g := NewWithT(t)
 	runner := &fakeRunner{version: 3}
-	server := NewServer(runner, tally.NoopScope, &log.Logger{Handler: discard.Default})
+	server := NewServer(runner, staying, tally.NoopScope, &log.Logger{Handler: discard.Default})
 	slow := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(3 * acceptWait)
 		server.ServeHTTP(w, r)
@@ -144,6 +146,19 @@
 	g.Expect(runner.runs.Load()).To(BeZero())
 }
 
+// Guards against queries that a stopping peer takes on and can't finish.
+func TestLeavingPeerTakesNothing(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	runner := &fakeRunner{version: 3}
+	server := httptest.NewServer(NewServer(runner, func() bool { return true }, tally.NoopScope, &log.Logger{Handler: discard.Default}))
+	defer server.Close()
+	_, err := clientOf([]string{strings.TrimPrefix(server.URL, "http://")}).Forward(t.Context(), query("x"))
+	var notTaken *gateway.NotTakenError
+	g.Expect(errors.As(err, &notTaken)).To(BeTrue())
+	g.Expect(runner.runs.Load()).To(BeZero())
+}
+
 // Guards against a query that is run here although it may run at a peer that
 // was lost.
 func TestLostPeerLeavesTheOutcomeUnknown(t *testing.T) {
--- a/internal/aggregate/server.go
+++ b/internal/aggregate/server.go
@@ -18,6 +18,7 @@
 // Server answers queries for peers.
 type Server struct {
 	runner  Runner
+	leaving func() bool
 	scope   tally.Scope
 	log     log.Interface
 	running atomic.Int64
@@ -25,9 +26,10 @@
 
 var _ http.Handler = (*Server)(nil)
 
-// NewServer returns the handler of PathQuery.
-func NewServer(runner Runner, scope tally.Scope, logger log.Interface) *Server {
-	return &Server{runner: runner, scope: scope, log: logger}
+// NewServer returns the handler of PathQuery. While leaving holds, it takes no
+// query on, because its process may end before the answer.
+func NewServer(runner Runner, leaving func() bool, scope tally.Scope, logger log.Interface) *Server {
+	return &Server{runner: runner, leaving: leaving, scope: scope, log: logger}
 }
 
 // ServeHTTP implements http.Handler. The query runs only once the peer has
@@ -40,9 +42,13 @@
 		s.refuse(w, http.StatusBadRequest, "unreadable")
 		return
 	}
+	running := s.running.Add(1)
 	defer s.running.Add(-1)
 	switch {
-	case s.running.Add(1) > maxRunning:
+	case s.leaving():
+		s.refuse(w, http.StatusServiceUnavailable, "leaving")
+		return
+	case running > maxRunning:
 		s.refuse(w, http.StatusServiceUnavailable, "busy")
 		return
 	case s.runner.Version() < query.Version:
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -195,7 +195,7 @@
 	readiness.GET(platform.PathReady, h.ready)
 	peers := echo.New()
 	peers.GET(catalog.PathState, echo.WrapHandler(http.HandlerFunc(h.catalog.ServeState)))
-	queries := aggregate.NewServer(h.gateway, h.scope.SubScope("aggregate"), h.log)
+	queries := aggregate.NewServer(h.gateway, h.leaving, h.scope.SubScope("aggregate"), h.log)
 	peers.POST(aggregate.PathQuery, func(c echo.Context) error {
 		// echo takes an interim response for the final one.
 		queries.ServeHTTP(c.Response().Writer, c.Request())
--- a/internal/lead/agent.go
+++ b/internal/lead/agent.go
@@ -27,14 +27,14 @@
 	// smaller host waits longer, so that larger ones take the seats.
 	startDelay = 25 * time.Millisecond
 	// lostSpread, for each known host, is the range of the random delay after
-	// which a host that lost every leader looks at the store. All hosts together
-	// then look 1/lostSpread times a second, whatever their number.
+	// which a host that lost every leader looks at the store, so that up to
+	// mostLost/lostSpread hosts look at the same rate together.
 	lostSpread = 25 * time.Millisecond
 	// mostLost bounds that delay: what the operators change must be known here
 	// within seconds, although every leader is lost.
 	mostLost = 2 * time.Second
-	// vacantSpread is the same for a seat that is vacant or held by a much
-	// smaller host while another leader can be followed.
+	// vacantSpread is the range for a seat that is vacant or held by a much smaller
+	// host while another leader can be followed. mostSpread bounds every delay.
 	vacantSpread = 100 * time.Millisecond
 	mostSpread   = 8 * time.Second
 	// mostDoublings bounds how often the delay doubles after failed looks.
@@ -206,8 +206,7 @@
 	return 0
 }
 
-// spread returns a random delay for one of many hosts. A larger host waits
-// less. The caller holds mu.
+// spread returns a random delay for one of many hosts. The caller holds mu.
 func (a *Agent) spread(perHost time.Duration) time.Duration {
 	hosts := a.fleet.Hosts()
 	if hosts == 0 {
@@ -280,10 +279,20 @@
 	}
 }
 
-func (a *Agent) holds() bool {
+// held returns the seat that this host holds. A peer may tell of its loss at any
+// time.
+func (a *Agent) held() (Seat, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.mine != nil
+	if a.mine == nil {
+		return Seat{}, false
+	}
+	return *a.mine, true
+}
+
+func (a *Agent) holds() bool {
+	_, ok := a.held()
+	return ok
 }
 
 // probeDue reports whether a look at the seats is due. One that nothing asks
@@ -411,9 +420,17 @@
 	if a.noted(ctx, err) || alive {
 		return
 	}
+	a.lose("seat lapsed")
+}
+
+// lose gives the own seat up, unless a peer has told of its loss meanwhile.
+func (a *Agent) lose(event string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.options.Logger.WithField("seat", a.mine.Number).Info("seat lapsed")
+	if a.mine == nil {
+		return
+	}
+	a.options.Logger.WithField("seat", a.mine.Number).Info(event)
 	a.mine = nil
 	a.set(a.fleet)
 	a.probeAt = time.Now()
@@ -434,21 +451,17 @@
 
 // rewrite writes the own entry with the present count.
 func (a *Agent) rewrite(ctx context.Context) {
-	a.mu.Lock()
-	seat := *a.mine
-	a.mu.Unlock()
+	seat, ok := a.held()
+	if !ok {
+		return
+	}
 	limit, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	revision, err := a.options.Registry.Update(limit, seat)
 	var taken *TakenError
 	switch {
 	case errors.As(err, &taken):
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		a.options.Logger.WithField("seat", seat.Number).Info("seat lost to another host")
-		a.mine = nil
-		a.set(a.fleet)
-		a.probeAt = time.Now()
+		a.lose("seat lost to another host")
 	case a.noted(ctx, err):
 	default:
 		a.mu.Lock()
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -364,6 +364,48 @@
 	})
 }
 
+// interrupted is a registry at which a peer tells of another holder during the
+// calls that keep the seat.
+type interrupted struct {
+	registry
+	agent *Agent
+}
+
+func (r *interrupted) tell() {
+	seat := Seat{Host: Host{Name: "other", DataCentre: "badin", Peers: "other"}, Number: 1, Revision: 1 << 40}
+	r.agent.Learn(Fleet{Seats: []Seat{seat}})
+}
+
+func (r *interrupted) Renew(context.Context) (bool, error) {
+	r.tell()
+	return false, nil
+}
+
+func (r *interrupted) Update(context.Context, Seat) (uint64, error) {
+	r.tell()
+	return 0, &TakenError{Seat: 1}
+}
+
+// Guards against a process that ends because its seat is lost while it renews
+// or rewrites it.
+func TestSeatLostDuringACall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		r := &interrupted{registry: registry{store: &store{seats: map[string]entry{}}, host: "h1"}}
+		agent, err := New(Options{
+			Registry: r, Host: Host{Name: "h1", DataCentre: "badin", Peers: "h1", Cores: 1}, OnFleet: func(Fleet) {},
+		})
+		g.Expect(err).NotTo(HaveOccurred())
+		r.agent = agent
+		for _, call := range []func(context.Context){agent.renew, agent.rewrite} {
+			g.Expect(agent.take(t.Context(), 1, r.store.revision)).To(BeTrue())
+			call(t.Context())
+			g.Expect(agent.Leads()).To(BeFalse())
+		}
+		agent.rewrite(t.Context()) // without a seat
+	})
+}
+
 // Guards against a seat that stays taken after a stop.
 func TestStopGivesTheSeatUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
