--- a/internal/entry/pages_test.go
+++ b/internal/entry/pages_test.go
@@ -19,7 +19,7 @@
 )
 
 // metricScopes names the packages whose metrics go to the scope of their name.
-var metricScopes = []string{"admit", "catalog", "front", "gateway", "member", "owner", "peer", "rollout", "route", "scatter", "store"}
+var metricScopes = []string{"admit", "aggregate", "catalog", "front", "gateway", "member", "owner", "peer", "rollout", "route", "scatter", "store"}
 
 var (
 	instrument    = regexp.MustCompile(`(?:\.(?:Counter|Gauge|Timer|Histogram)|\bcounter)\(([^,)]*)`)
