Let the first attempts after a restart keep the bound of replicas

The first attempts after a restart chose among all replicas, whatever had been reached before it.

Change: first attempts respect the bound too.

--- a/internal/scatter/attempt.go
+++ b/internal/scatter/attempt.go
@@ -41,7 +41,8 @@
 	hedgeAt := now.Add(q.hedgeDelay(now))
 	for i := range q.parts {
 		p := &q.parts[i]
-		r := q.pick(p, p.tried, now)
+		// After a restart, attempts before it count as well.
+		r := q.pick(p, p.tried|q.beyondAttempts(p), now)
 		if r == nil || left < shortestTry {
 			q.firsts[i].ended = true
 			q.noReplica(p, now)
--- a/internal/scatter/direct_test.go
+++ b/internal/scatter/direct_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/bits"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -172,7 +173,8 @@
 		}
 		q.restart(now)
 		g.Expect(q.work.Restarts).To(Equal(1))
-		g.Expect(q.parts[0].reached & before).To(Equal(before))
+		g.Expect(bits.OnesCount64(before)).To(Equal(2), "the first attempt and its hedge")
+		g.Expect(q.parts[0].reached).To(Equal(before))
 		// Only the time is virtual: the replies of the sender must not outlive the test.
 		time.Sleep(2 * time.Hour)
 	})
