Let the membership simulation end after its handlers, and give each reader a table

Cause: simTransport.Gossip started HandleGossip on a goroutine that nobody waited for, and slept for the network's delay whatever its context said. stopAll then ended the synctest bubble while a handler slept. In internal/catalog, the fake source handed the same *routing.Table to two catalogs, and each builds its index in it; the real source decodes a table for each reader.

Change: stopAll waits for all handlers, and the delay ends with the context. The fake source returns copies.

Ruled out: the agents. Run waits for everything that it spawns.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -74,6 +74,16 @@
 	})
 }
 
+// readTable returns a copy of the table: each read of a source decodes a table of
+// its own, and the reader builds an index in it. The caller holds mu.
+func (s *fakeSource) readTable() *routing.Table {
+	if s.table == nil {
+		return nil
+	}
+	table := *s.table
+	return &table
+}
+
 func (s *fakeSource) countCall() error {
 	s.calls++
 	return s.err
@@ -82,14 +92,14 @@
 func (s *fakeSource) Table(context.Context) (*routing.Table, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table, s.revision, s.countCall()
+	return s.readTable(), s.revision, s.countCall()
 }
 
 func (s *fakeSource) WatchTable(ctx context.Context, after uint64, wait time.Duration) (*routing.Table, uint64, error) {
 	end := time.Now().Add(wait)
 	for {
 		s.mu.Lock()
-		table, tableRev, revision, err := s.table, s.tableRev, s.revision, s.err
+		table, tableRev, revision, err := s.readTable(), s.tableRev, s.revision, s.err
 		s.mu.Unlock()
 		switch {
 		case err != nil:
--- a/internal/member/sim_test.go
+++ b/internal/member/sim_test.go
@@ -29,8 +29,9 @@
 	hosts          map[string]*simHost // by address
 	blocked        func(from, to Host) bool
 	callCount      atomic.Uint64
-	byteCount      atomic.Uint64 // requests and replies
-	largestMessage atomic.Uint64 // in bytes, TABLE messages excluded
+	byteCount      atomic.Uint64  // requests and replies
+	largestMessage atomic.Uint64  // in bytes, TABLE messages excluded
+	handlers       sync.WaitGroup // running calls of HandleGossip
 }
 
 type simHost struct {
@@ -57,14 +58,17 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	time.Sleep(n.delay(l.from, target.opts.Self))
+	if err := n.sleepDelay(ctx, l.from, target.opts.Self); err != nil {
+		return nil, err
+	}
 	// The handler runs in its own goroutine, because the target can be paused
-	// during the call.
+	// during the call. stopAll waits for it: a synctest bubble must not end while
+	// a goroutine in it is blocked.
 	answers := make(chan *peerpb.GossipMessage, 1)
-	go func() {
+	n.handlers.Go(func() {
 		reply, _ := target.HandleGossip(ctx, proto.Clone(m).(*peerpb.GossipMessage))
 		answers <- reply
-	}()
+	})
 	var reply *peerpb.GossipMessage
 	select {
 	case reply = <-answers:
@@ -75,9 +79,8 @@
 	if n.reachable(l.from, addr) != target {
 		<-ctx.Done()
 	}
-	time.Sleep(n.delay(l.from, target.opts.Self))
-	if ctx.Err() != nil {
-		return nil, ctx.Err()
+	if err := n.sleepDelay(ctx, l.from, target.opts.Self); err != nil {
+		return nil, err
 	}
 	return proto.Clone(reply).(*peerpb.GossipMessage), nil
 }
@@ -100,6 +103,18 @@
 	return 5 * time.Millisecond
 }
 
+// sleepDelay waits for the delay between two hosts, or until ctx ends.
+func (n *network) sleepDelay(ctx context.Context, a, b Host) error {
+	timer := time.NewTimer(n.delay(a, b))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return ctx.Err()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // reachable returns the host at addr, or nil if a message to it is lost.
 func (n *network) reachable(from Host, addr string) *simHost {
 	n.mu.Lock()
@@ -171,6 +186,7 @@
 	<-h.runResult
 }
 
+// stopAll kills all hosts and waits for the handlers that they have started.
 func (n *network) stopAll() {
 	n.mu.Lock()
 	var all []*simHost
@@ -184,6 +200,7 @@
 	for _, h := range all {
 		n.kill(h)
 	}
+	n.handlers.Wait()
 }
 
 func (h *simHost) blockWhilePaused() {
