Bound the bytes of replicas, peers, the store and callers, and refuse what can't be told apart

Callers' and peers' heads were bounded by 256 KiB each, and their fields not at all. A body sent a byte a second was waited for. - Late copy of an answer. A response on a reused connection that named no attempt was taken for the answer, also a copied refusal or health check, which says "not run" of a request that runs. The same attempt sent again on a connection could take the copy of its first refusal. - Planned stop. Only the listener for callers was shut down; queries that a larger host ran for its peers were cut. - One malformed message. A seat with a negative number of hosts, from the store or from a peer, ended the process (rand.Int64N). A reply of a peer without an outcome was a success without parts.

Change: internal/readlimit bounds each message and, by a budget of 1/24 of the process's memory, all of them together; heads have a limit of bytes and lines; interim responses are skipped up to five; response_too_large is a reason of its own and counts against the replica. Responses must name their attempt, but for the first one on a connection. The stop finishes the queries of peers. Seats and states of peers are checked. The body of a request has as long as its caller waits, then 408; a body that breaks off is 400, no longer 413.

--- a/internal/aggregate/aggregate_test.go
+++ b/internal/aggregate/aggregate_test.go
@@ -46,7 +46,7 @@
 
 // serveRunner serves a runner and returns its address.
 func serveRunner(t *testing.T, runner Runner) string {
-	server := httptest.NewServer(NewServer(runner, notLeaving, tally.NoopScope, &log.Logger{Handler: discard.Default}))
+	server := httptest.NewServer(NewServer(runner, notLeaving, nil, tally.NoopScope, &log.Logger{Handler: discard.Default}))
 	t.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://")
 }
@@ -117,7 +117,7 @@
 	t.Parallel()
 	g := NewWithT(t)
 	runner := &fakeRunner{version: 3}
-	server := NewServer(runner, notLeaving, tally.NoopScope, &log.Logger{Handler: discard.Default})
+	server := NewServer(runner, notLeaving, nil, tally.NoopScope, &log.Logger{Handler: discard.Default})
 	slow := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(3 * acceptTimeout)
 		server.ServeHTTP(w, r)
@@ -152,7 +152,7 @@
 	t.Parallel()
 	g := NewWithT(t)
 	runner := &fakeRunner{version: 3}
-	server := httptest.NewServer(NewServer(runner, func() bool { return true }, tally.NoopScope, &log.Logger{Handler: discard.Default}))
+	server := httptest.NewServer(NewServer(runner, func() bool { return true }, nil, tally.NoopScope, &log.Logger{Handler: discard.Default}))
 	defer server.Close()
 	_, err := newTestClient([]string{strings.TrimPrefix(server.URL, "http://")}).Forward(t.Context(), newTestQuery("x"))
 	var notForwarded *gateway.NotForwardedError
--- a/internal/aggregate/client.go
+++ b/internal/aggregate/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -14,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/arbutusgauge/arbutusgauge/internal/gateway"
+	"github.com/arbutusgauge/arbutusgauge/internal/readlimit"
 )
 
 // Client forwards queries to peers. It is safe for concurrent use.
@@ -39,6 +39,8 @@
 			IdleConnTimeout:     idleConnectionTimeout,
 			WriteBufferSize:     2 << 10,
 			ReadBufferSize:      4 << 10,
+
+			MaxResponseHeaderBytes: maxReplyHeadBytes,
 		}},
 		avoidUntil: map[string]time.Time{},
 	}
@@ -139,10 +141,25 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, false, errors.WithStack(&PeerError{Peer: peer, Code: response.StatusCode})
 	}
-	outcome = &gateway.ForwardOutcome{}
-	err = json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(outcome)
-	if err == nil {
-		_, err = io.Copy(io.Discard, response.Body) // allows reuse of the connection
+	body, err := readlimit.ReadAll(response.Body, response.ContentLength, readlimit.Limits{
+		What: "reply of a peer", Max: maxReplyBytes, Budget: c.options.Budget,
+	})
+	if err != nil {
+		return nil, true, err
+	}
+	outcome, err = decodeOutcome(peer, body)
+	return outcome, true, err
+}
+
+// decodeOutcome decodes the reply of a peer. *PeerError reports an outcome that is
+// neither a failure nor an answer: an answer has a part.
+func decodeOutcome(peer string, body []byte) (*gateway.ForwardOutcome, error) {
+	outcome := &gateway.ForwardOutcome{}
+	if err := json.Unmarshal(body, outcome); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if outcome.Failure == "" && (len(outcome.Proofs) == 0 || outcome.MissingShards < 0) {
+		return nil, errors.WithStack(&PeerError{Peer: peer, Code: http.StatusOK})
 	}
-	return outcome, true, errors.WithStack(err)
+	return outcome, nil
 }
--- a/internal/aggregate/types.go
+++ b/internal/aggregate/types.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -19,6 +20,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/arbutusgauge/arbutusgauge/internal/gateway"
+	"github.com/arbutusgauge/arbutusgauge/internal/readlimit"
 )
 
 // PathQuery is the path at which a host accepts queries from peers.
@@ -33,9 +35,14 @@
 	// maxRunningQueries limits the queries that this host runs for peers at the
 	// same time.
 	maxRunningQueries = 64
-	// maxQueryBytes and maxReplyBytes limit the size of a message.
-	maxQueryBytes = 1 << 20
-	maxReplyBytes = 8 << 20
+	// maxQueryBytes and maxReplyBytes limit the size of a message, and
+	// maxReplyHeadBytes the head of a reply with its interim responses.
+	maxQueryBytes     = 1 << 20
+	maxReplyBytes     = 8 << 20
+	maxReplyHeadBytes = 16 << 10
+	// offerTimeout limits how long a peer may take to send its query, and to
+	// confirm it after its acceptance. A sender waits acceptTimeout at most.
+	offerTimeout = time.Second
 	// hopTime is the time that a query and its answer need between two hosts. It
 	// counts against the latency goal.
 	hopTime = 4 * time.Millisecond
@@ -62,8 +69,9 @@
 	// in order of preference. Without any address this host answers all queries
 	// itself.
 	Peers  func() [][]string
-	Scope  tally.Scope   // default: no metrics
-	Logger log.Interface // default: no log
+	Budget *readlimit.Budget // memory for replies being read; default: unlimited
+	Scope  tally.Scope       // default: no metrics
+	Logger log.Interface     // default: no log
 }
 
 // withDefaults returns the options with defaults for unset fields.
@@ -77,23 +85,27 @@
 	return o
 }
 
-// PeerError reports a peer that refused a query.
+// PeerError reports a peer that refused a query, or that answered without an
+// outcome.
 type PeerError struct {
 	Peer string
-	Code int // HTTP status of its answer; 0: none
-	Err  error
+	Code int // HTTP status of its answer; 200: without an outcome
 }
 
 // Error implements error.
 func (e *PeerError) Error() string {
-	if e.Err != nil {
-		return "peer " + e.Peer + " refused the query: " + e.Err.Error()
+	if e.Code == http.StatusOK {
+		return "peer " + e.Peer + " answered the query without an outcome"
 	}
 	return "peer " + e.Peer + " refused the query: HTTP status " + strconv.Itoa(e.Code)
 }
 
-// Unwrap returns the cause.
-func (e *PeerError) Unwrap() error { return e.Err }
+// QueryError reports a message of a peer that names no request or no routing
+// table.
+type QueryError struct{}
+
+// Error implements error.
+func (*QueryError) Error() string { return "query names no request or no routing table" }
 
 // AcceptTimeoutError reports a peer that did not accept a query within
 // acceptTimeout.
--- a/internal/backend/httpconn/conn.go
+++ b/internal/backend/httpconn/conn.go
@@ -6,7 +6,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -17,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/arbutusgauge/arbutusgauge/internal/backend"
+	"github.com/arbutusgauge/arbutusgauge/internal/readlimit"
 	"github.com/arbutusgauge/arbutusgauge/internal/wire"
 )
 
@@ -28,6 +28,7 @@
 // a time; Close may be called during it.
 type Conn struct {
 	replica wire.ReplicaID
+	options Options
 	stream  *limitedStream
 	reader  *bufio.Reader
 	writer  *bufio.Writer
@@ -38,15 +39,26 @@
 
 // Options bound the memory of a connection.
 type Options struct {
-	BufferSize  int   // bytes, for the reader and for the writer each
-	MaxResponse int64 // bytes of one response, with its headers
+	BufferSize  int               // bytes, for the reader and for the writer each
+	MaxResponse int64             // bytes of the body of one response
+	Budget      *readlimit.Budget // for the bodies that the process reads at the same time; nil: no limit
 }
 
+const (
+	// maxHeadBytes and maxHeadLines bound the head of a response, with the interim
+	// responses before it. A field takes much more memory than its bytes.
+	maxHeadBytes = 32 << 10
+	maxHeadLines = 256
+	// maxInterimResponses bounds the interim responses that are skipped.
+	maxInterimResponses = 5
+)
+
 // New returns a Conn that takes over conn, and closes it when it is closed.
 func New(conn net.Conn, replica wire.ReplicaID, options Options) *Conn {
-	stream := &limitedStream{conn: conn, readLimit: options.MaxResponse}
+	stream := &limitedStream{conn: conn}
 	return &Conn{
 		replica: replica,
+		options: options,
 		stream:  stream,
 		reader:  bufio.NewReaderSize(stream, options.BufferSize),
 		writer:  bufio.NewWriterSize(stream, options.BufferSize),
@@ -115,14 +127,15 @@
 
 // readResponse reads one response with its body.
 func (c *Conn) readResponse(method string) (*Response, error) {
-	c.stream.readLeft = c.stream.readLimit
-	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	response, err := c.readHead(method)
 	if err != nil {
-		return nil, c.CloseLost(errors.WithStack(err))
+		return nil, c.CloseLost(err)
 	}
-	body, err := readBody(response)
+	body, err := readlimit.ReadAll(response.Body, response.ContentLength, readlimit.Limits{
+		What: "body of a response", Max: c.options.MaxResponse, Budget: c.options.Budget,
+	})
 	if err != nil {
-		return nil, c.CloseLost(errors.WithStack(err))
+		return nil, c.CloseLost(err)
 	}
 	if response.Close {
 		c.close("server asked to close")
@@ -130,22 +143,22 @@
 	return &Response{Code: response.StatusCode, Header: response.Header, Body: body}, nil
 }
 
-// readBody reads the body of a response to its end.
-func readBody(response *http.Response) ([]byte, error) {
-	if response.ContentLength < 0 {
-		return io.ReadAll(response.Body)
-	}
-	// The stated length is only a hint for the size of the buffer; limitedStream
-	// enforces the limit.
-	var body bytes.Buffer
-	body.Grow(int(min(response.ContentLength, maxInitialBodyBytes)) + bytes.MinRead)
-	_, err := body.ReadFrom(response.Body)
-	return body.Bytes(), err
+// readHead reads the head of the final response and skips interim responses.
+func (c *Conn) readHead(method string) (*http.Response, error) {
+	c.stream.beginHead()
+	defer c.stream.endHead()
+	for range maxInterimResponses + 1 {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		if response.StatusCode/100 != 1 {
+			return response, nil
+		}
+	}
+	return nil, errors.WithStack(&InterimResponsesError{Limit: maxInterimResponses})
 }
 
-// maxInitialBodyBytes bounds the memory allocated for a body before it arrives.
-const maxInitialBodyBytes = 16 << 10
-
 // checkReusable returns an error when the server has closed the connection or
 // sent unexpected bytes since the last call. A call on such a connection would
 // be lost, while an error before the call is written permits sending the call
--- a/internal/backend/httpconn/errors.go
+++ b/internal/backend/httpconn/errors.go
@@ -2,13 +2,13 @@
 
 import "strconv"
 
-// TooLargeError reports a response, with its headers, that is longer than the
-// limit.
-type TooLargeError struct{ Limit int64 } // bytes
+// InterimResponsesError reports a server that sent more interim responses (1xx)
+// than are skipped.
+type InterimResponsesError struct{ Limit int }
 
 // Error implements error.
-func (e *TooLargeError) Error() string {
-	return "response is longer than " + strconv.FormatInt(e.Limit, 10) + " bytes"
+func (e *InterimResponsesError) Error() string {
+	return "more than " + strconv.Itoa(e.Limit) + " interim responses"
 }
 
 // ClosedError reports a call on a connection that either side has closed, or on
--- a/internal/backend/httpconn/stream.go
+++ b/internal/backend/httpconn/stream.go
@@ -1,16 +1,32 @@
 package httpconn
 
-import "net"
+import (
+	"bytes"
+	"net"
+
+	"github.com/pkg/errors"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/readlimit"
+)
 
 // limitedStream is a connection that counts the bytes written in a call, and
-// limits the bytes read.
+// limits the bytes and lines of a response's head.
 type limitedStream struct {
 	conn      net.Conn
 	written   int64 // bytes, since the start of the call
-	readLeft  int64 // bytes that may still be read in this call
-	readLimit int64 // bytes that may be read in each call
+	inHead    bool
+	bytesLeft int // bytes that may still be read in the head
+	linesLeft int // line breaks that may still be read in the head
+}
+
+// beginHead starts the limits of a head.
+func (s *limitedStream) beginHead() {
+	s.inHead, s.bytesLeft, s.linesLeft = true, maxHeadBytes, maxHeadLines
 }
 
+// endHead ends the limits.
+func (s *limitedStream) endHead() { s.inHead = false }
+
 // Write implements io.Writer.
 func (s *limitedStream) Write(p []byte) (int, error) {
 	n, err := s.conn.Write(p)
@@ -18,15 +34,20 @@
 	return n, err
 }
 
-// Read implements io.Reader. It returns *TooLargeError when the limit is reached.
+// Read implements io.Reader. Within a head it returns *readlimit.Error if the
+// bytes read before exceed a limit. The bytes of one read may exceed it, because
+// they may belong to the body; their number is that of the reader's buffer.
 func (s *limitedStream) Read(p []byte) (int, error) {
-	if s.readLeft <= 0 {
-		return 0, &TooLargeError{Limit: s.readLimit}
+	if s.inHead && s.bytesLeft <= 0 {
+		return 0, errors.WithStack(&readlimit.Error{What: "head of a response", Limit: maxHeadBytes, Unit: readlimit.Bytes})
 	}
-	if int64(len(p)) > s.readLeft {
-		p = p[:s.readLeft]
+	if s.inHead && s.linesLeft <= 0 {
+		return 0, errors.WithStack(&readlimit.Error{What: "head of a response", Limit: maxHeadLines, Unit: readlimit.Lines})
 	}
 	n, err := s.conn.Read(p)
-	s.readLeft -= int64(n)
+	if s.inHead {
+		s.bytesLeft -= n
+		s.linesLeft -= bytes.Count(p[:n], []byte{'\n'})
+	}
 	return n, err
 }
--- a/internal/catalog/peers.go
+++ b/internal/catalog/peers.go
@@ -19,7 +19,9 @@
 // of any age is accepted. It returns nil when ctx ends, not before.
 func (c *Catalog) StartFromPeers(ctx context.Context, peers []string) error {
 	dialer := &net.Dialer{Timeout: peerTimeout}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}}
+	client := &http.Client{Transport: &http.Transport{
+		DisableKeepAlives: true, DialContext: dialer.DialContext, MaxResponseHeaderBytes: maxStateHeadBytes,
+	}}
 	for ctx.Err() == nil && c.View() == nil && len(peers) > 0 {
 		for _, peer := range peers {
 			if c.View() != nil {
--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -14,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/arbutusgauge/arbutusgauge/internal/lead"
+	"github.com/arbutusgauge/arbutusgauge/internal/readlimit"
 	"github.com/arbutusgauge/arbutusgauge/internal/routing"
 )
 
@@ -47,8 +47,11 @@
 	// its peers; the log is cut to this number when it has grown beyond twice as
 	// many.
 	maxKeptChanges = 2000
-	// maxStateBytes limits the size of a peer's answer.
+	// maxStateBytes limits the size of a peer's answer: 70,000 servers take about
+	// 14 MB.
 	maxStateBytes = 32 << 20
+	// maxStateHeadBytes limits the head of a peer's answer.
+	maxStateHeadBytes = 16 << 10
 )
 
 // changeLog numbers the server changes that had an effect, from 1, and keeps the
@@ -94,6 +97,30 @@
 	Changes []ServerChange `json:"changes,omitempty"`
 }
 
+// decodePeerState decodes the answer of a peer. *StateError reports one that no host
+// of this program sends.
+func decodePeerState(body []byte) (*peerState, error) {
+	var state peerState
+	if err := json.Unmarshal(body, &state); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	switch {
+	case state.Run == 0:
+		return nil, errors.WithStack(&StateError{Problem: "it names no change log"})
+	case state.Age < 0:
+		return nil, errors.WithStack(&StateError{Problem: "its age is negative"})
+	case state.Table != nil && state.Table.Version == 0:
+		return nil, errors.WithStack(&StateError{Problem: "its routing table has no version"})
+	}
+	return &state, nil
+}
+
+// StateError reports a malformed state of a peer.
+type StateError struct{ Problem string }
+
+// Error implements error.
+func (e *StateError) Error() string { return "malformed state: " + e.Problem }
+
 // peerCursor is the position up to which a host has the state of a peer.
 type peerCursor struct {
 	peer    string // address, "ip:port"
@@ -196,7 +223,9 @@
 func newPeerSet() *peerSet {
 	dialer := &net.Dialer{Timeout: peerTimeout}
 	return &peerSet{
-		client:  &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: peerIdleTimeout}},
+		client: &http.Client{Transport: &http.Transport{
+			DialContext: dialer.DialContext, IdleConnTimeout: peerIdleTimeout, MaxResponseHeaderBytes: maxStateHeadBytes,
+		}},
 		cursors: map[string]*peerCursor{},
 	}
 }
@@ -361,11 +390,15 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, &PeerError{Peer: cursor.peer, Problem: response.Status}
 	}
-	var answer peerState
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxStateBytes)).Decode(&answer); err != nil {
+	body, err := readlimit.ReadAll(response.Body, response.ContentLength, readlimit.Limits{What: "state of a peer", Max: maxStateBytes})
+	if err != nil {
+		return nil, errors.Wrap(err, "read state of peer "+cursor.peer)
+	}
+	answer, err := decodePeerState(body)
+	if err != nil {
 		return nil, errors.Wrap(err, "decode state of peer "+cursor.peer)
 	}
-	return &answer, nil
+	return answer, nil
 }
 
 // applyPeerChanges applies the changes of a peer that are after a known revision,
--- a/internal/edge/constants.go
+++ b/internal/edge/constants.go
@@ -48,7 +48,7 @@
 	// checked with each request.
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 5 * time.Minute
-	maxHeaderBytes = 256 << 10
+	maxHeaderBytes = 64 << 10
 	// shutdownReserve is the part of the time allowed for a stop that is reserved
 	// for running requests and the end of the process.
 	shutdownReserve = 1500 * time.Millisecond
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,7 @@
 	"github.com/arbutusgauge/arbutusgauge/internal/gateway"
 	"github.com/arbutusgauge/arbutusgauge/internal/lead"
 	"github.com/arbutusgauge/arbutusgauge/internal/owner"
+	"github.com/arbutusgauge/arbutusgauge/internal/readlimit"
 	"github.com/arbutusgauge/arbutusgauge/internal/scatter"
 	"github.com/arbutusgauge/arbutusgauge/internal/textmetrics"
 	"github.com/arbutusgauge/arbutusgauge/internal/wire"
@@ -41,6 +43,7 @@
 	// extraLoad and extraBurst are the settings of the retry budget in use.
 	extraLoad  float64
 	extraBurst int
+	readBudget *readlimit.Budget // for messages of replicas, peers and callers
 
 	catalog       *catalog.Catalog
 	lead          *lead.Agent
@@ -51,7 +54,7 @@
 	callerHandler *platform.CallerHandler
 	reachability  *reachability
 
-	servers []*server // the first one serves callers
+	servers []*server
 }
 
 // server is one HTTP server with its listener.
@@ -66,6 +69,7 @@
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(settings.MemoryBytes / memoryLimitDivisor)
 	h := &Host{settings: settings, log: logger, metrics: textmetrics.New(), extraLoad: settings.ExtraLoad, extraBurst: settings.ExtraBurst}
+	h.readBudget = readlimit.NewBudget(readlimit.BudgetOf(settings.MemoryBytes))
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Reporter: h.metrics, OmitCardinalityMetrics: true,
 	}, metricsInterval)
@@ -126,8 +130,9 @@
 		DataCentre:             h.settings.DataCentre,
 		AllDataCentres:         true,
 		SkipRoutineStatusCalls: true,
+		KeepSilentRuns:         true,
 		WarmConnections:        warmConnections,
-		Dialer:                 platform.NewDialer(),
+		Dialer:                 platform.NewDialer(h.readBudget),
 		Ownership:              ownsAll{},
 		Scope:                  h.scope.SubScope("owner"),
 		Logger:                 h.log,
@@ -170,6 +175,7 @@
 func (h *Host) newCallerHandler() error {
 	forwarder := aggregate.New(aggregate.Options{
 		Peers:  func() [][]string { return aggregatorPeers(h.lead.Fleet(), h.settings.DataCentre, h.settings.Cores) },
+		Budget: h.readBudget,
 		Scope:  h.scope.SubScope("aggregate"),
 		Logger: h.log,
 	})
@@ -180,7 +186,7 @@
 	if err != nil {
 		return err
 	}
-	h.callerHandler = platform.NewCallerHandler(h.gateway, h.catalog.View, h.isLeaving, h.log)
+	h.callerHandler = platform.NewCallerHandler(h.gateway, h.readBudget, h.catalog.View, h.isLeaving, h.log)
 	return nil
 }
 
@@ -204,7 +210,7 @@
 	readiness.GET(platform.PathReady, h.serveReadiness)
 	peers := echo.New()
 	peers.GET(catalog.PathState, echo.WrapHandler(http.HandlerFunc(h.catalog.ServeState)))
-	queries := aggregate.NewServer(h.gateway, h.isLeaving, h.scope.SubScope("aggregate"), h.log)
+	queries := aggregate.NewServer(h.gateway, h.isLeaving, h.readBudget, h.scope.SubScope("aggregate"), h.log)
 	peers.POST(aggregate.PathQuery, func(c echo.Context) error {
 		// echo's own writer would take the interim response for the final one.
 		queries.ServeHTTP(c.Response().Writer, c.Request())
@@ -228,8 +234,9 @@
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
-		h.servers = append(h.servers, &server{listener: listener, http: &http.Server{
-			Handler:           s.handler,
+		h.servers = append(h.servers, &server{listener: headLimitListener{listener}, http: &http.Server{
+			Handler:           endHeadLimit(s.handler),
+			ConnContext:       rememberConn,
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
@@ -292,17 +299,23 @@
 }
 
 // shutDown fails the readiness check, waits until the load balancer has removed
-// this host, and finishes the running requests of callers.
+// this host, and finishes the running requests of callers and the queries that run
+// for peers.
 func (h *Host) shutDown() {
 	h.log.Info("stopping")
 	h.stopping.Store(true)
 	time.Sleep(max(0, h.settings.StopTimeout-shutdownReserve))
 	shutdownCtx, cancel := context.WithTimeout(context.Background(), shutdownReserve/2)
 	defer cancel()
-	// The first server is the one for callers.
-	if err := h.servers[0].http.Shutdown(shutdownCtx); err != nil {
-		h.log.WithError(err).Error("stop cut off requests")
+	var servers sync.WaitGroup
+	for _, s := range h.servers {
+		servers.Go(func() {
+			if err := s.http.Shutdown(shutdownCtx); err != nil {
+				h.log.WithError(err).WithField("listener", s.listener.Addr().String()).Error("stop cut off requests")
+			}
+		})
 	}
+	servers.Wait()
 }
 
 // serve serves until stopped is closed. http.Server.Serve returns at the start of
--- a/internal/lead/agent.go
+++ b/internal/lead/agent.go
@@ -152,6 +152,10 @@
 func (a *Agent) setFleet(fleet Fleet) {
 	next := Fleet{}
 	for _, seat := range fleet.Seats {
+		if err := seat.Validate(); err != nil {
+			a.options.Logger.WithError(err).Warn("seat of a host refused")
+			continue
+		}
 		if a.ownSeat != nil && a.isOwnSeat(seat) {
 			if seat.Revision > a.ownSeat.Revision && seat.Name != a.options.Host.Name {
 				a.options.Logger.WithFields(log.Fields{"seat": a.ownSeat.Number, "holder": seat.Name}).Info("seat lost to another host")
--- a/internal/lead/count.go
+++ b/internal/lead/count.go
@@ -5,7 +5,7 @@
 // RecordFollower records that a host follows this one, for followerTTL. cores is
 // the follower's processor share; 0 if it is unknown.
 func (a *Agent) RecordFollower(name string, cores float64) {
-	if name == "" {
+	if name == "" || !isCores(cores) {
 		return
 	}
 	a.mu.Lock()
--- a/internal/lead/types.go
+++ b/internal/lead/types.go
@@ -12,6 +12,8 @@
 
 import (
 	"context"
+	"math"
+	"strconv"
 	"time"
 
 	"github.com/apex/log"
@@ -44,6 +46,46 @@
 	LeastCores float64 `json:"least_cores"`
 }
 
+// Greatest plausible values of a seat, far above those of any fleet.
+const (
+	maxSeatNumber   = 1 << 16
+	maxHostsPerSeat = 1 << 20
+)
+
+// Validate returns *SeatError for a seat that no host of this program writes. Such
+// a seat, from the store or from a peer, must not reach the decisions.
+func (s *Seat) Validate() error {
+	problem := ""
+	switch {
+	case s.Name == "" || s.DataCentre == "":
+		problem = "it names no host or no data centre"
+	case s.Number < 1 || s.Number > maxSeatNumber:
+		problem = "its number is out of range"
+	case s.Hosts < 0 || s.Hosts > maxHostsPerSeat:
+		problem = "its number of hosts is out of range"
+	case !isCores(s.Cores) || !isCores(s.LeastCores):
+		problem = "a processor share is out of range"
+	default:
+		return nil
+	}
+	return &SeatError{DataCentre: s.DataCentre, Number: s.Number, Problem: problem}
+}
+
+// isCores reports whether a number can be a processor share; 0 means unknown.
+func isCores(cores float64) bool { return cores >= 0 && !math.IsInf(cores, 0) }
+
+// SeatError reports a malformed seat.
+type SeatError struct {
+	DataCentre string
+	Number     int
+	Problem    string
+}
+
+// Error implements error.
+func (e *SeatError) Error() string {
+	return "seat " + strconv.Itoa(e.Number) + " of data centre " + e.DataCentre + " is malformed: " + e.Problem
+}
+
 // Fleet is the known state of all hosts, as their taken seats.
 type Fleet struct {
 	Seats []Seat `json:"seats"`
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -47,7 +47,7 @@
 		wire.ReasonNone, wire.ReasonBadRequest, wire.ReasonQueueFull, wire.ReasonDeadlineTooShort,
 		wire.ReasonDeadlineExpired, wire.ReasonCancelled, wire.ReasonDraining, wire.ReasonEjected,
 		wire.ReasonShed, wire.ReasonConnRefused, wire.ReasonConnLost, wire.ReasonConnSilent,
-		wire.ReasonTimeout, wire.ReasonSnapshotNotHeld, wire.ReasonRepartitioned,
+		wire.ReasonTimeout, wire.ReasonTooLarge, wire.ReasonSnapshotNotHeld, wire.ReasonRepartitioned,
 		wire.ReasonUnknownReplica, wire.ReasonServerError,
 	} {
 		tags := map[string]string{"reason": string(reason)}
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/arbutusgauge/arbutusgauge/internal/backend"
+	"github.com/arbutusgauge/arbutusgauge/internal/readlimit"
 	"github.com/arbutusgauge/arbutusgauge/internal/wire"
 )
 
@@ -50,8 +51,11 @@
 	if notSent(err) {
 		return newLocalReply(a, wire.NotRun, wire.ReasonConnLost)
 	}
-	if timedOut {
+	switch {
+	case timedOut:
 		return newLocalReply(a, wire.Unknown, wire.ReasonTimeout)
+	case readlimit.Exceeded(err):
+		return newLocalReply(a, wire.Unknown, wire.ReasonTooLarge)
 	}
 	return newLocalReply(a, wire.Unknown, wire.ReasonConnLost)
 }
