Let a slow run finish on its connection

Cause: a connection whose sub-request was unanswered for 2 s while three later ones were answered was closed as silent. A server that is only slow, or a request that is longer than others, lost its running work; one that may not run twice ended as unknown although its answer was on the way.

Change: a sub-request that can't be sent again keeps its connection until its deadline. On the users' platform (KeepSilentRuns) each one that is still waited for does: hedges take its place within the budget, and a cancelled one closes its connection as before.

Ruled out: idle silent connections, which the probes of a silence check still find.

TestSlowRunIsNotGivenUp fails with either condition removed.

--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -360,6 +360,14 @@
 	return ids
 }
 
+// sendOne sends one sub-request that may or may not run twice, and returns its id.
+func (h *harness) sendOne(repeatable bool, id wire.ReplicaID, timeLeft time.Duration) wire.SubRequestID {
+	sub := h.sub(id, timeLeft)
+	sub.Repeatable = repeatable
+	h.owner.Send([]wire.SubRequest{sub}, h.done)
+	return sub.ID
+}
+
 // reply returns the only reply to a sub-request, or the zero reply if there is none
 // yet. It fails the test if there are several.
 func (h *harness) reply(id wire.SubRequestID) wire.Reply {
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -22,8 +22,11 @@
 	// periodic ones on idle connections, for replicas whose status call takes a
 	// slot. Checks for silent connections still use status calls.
 	SkipRoutineStatusCalls bool
-	Dialer                 backend.Dialer // opens connections to replicas
-	Ownership              Ownership      // says which replicas this host owns
+	// KeepSilentRuns keeps a connection open while its running sub-request is waited
+	// for, however long the server is silent. The sender's hedges take its place.
+	KeepSilentRuns bool
+	Dialer         backend.Dialer // opens connections to replicas
+	Ownership      Ownership      // says which replicas this host owns
 	// LeavingServer reports whether the host list names the backend server of a
 	// replica as leaving. Default: no server is leaving.
 	LeavingServer func(wire.ReplicaID) bool
--- a/internal/owner/silence.go
+++ b/internal/owner/silence.go
@@ -69,7 +69,7 @@
 	for _, c := range r.pool.busy {
 		due := c.runStarted.Add(timeout)
 		switch {
-		case c.silent:
+		case c.silent || c.mustFinish():
 		case due.After(now):
 			next = earliestNonZero(next, due)
 		case c.laterAnswers >= r.owner.options.Timings.SilentAnswers:
@@ -86,6 +86,17 @@
 	}
 }
 
+// mustFinish reports whether a running sub-request is waited for and can't be
+// sent again, or must not be ended for silence at all. A server that is only slow
+// may still answer it, so that its connection stays open until its deadline.
+func (c *pooledConn) mustFinish() bool {
+	a := c.running
+	if a == nil || a.state.Load() == stateReplied {
+		return false
+	}
+	return !a.sub.Repeatable || c.replica.owner.options.KeepSilentRuns
+}
+
 // earliestNonZero returns the earlier of a and b, or b if a is zero.
 func earliestNonZero(a, b time.Time) time.Time {
 	if a.IsZero() || b.Before(a) {
@@ -242,7 +253,7 @@
 	var out []suspectRun
 	for _, s := range k.suspects {
 		for _, c := range s.conn.replica.pool.busy {
-			if c == s.conn && c.runStarted.Equal(s.started) && !c.silent {
+			if c == s.conn && c.runStarted.Equal(s.started) && !c.silent && !c.mustFinish() {
 				out = append(out, s)
 			}
 		}
--- a/internal/owner/silence_test.go
+++ b/internal/owner/silence_test.go
@@ -123,3 +123,29 @@
 		})
 	}
 }
+
+// Guards against work that is given up although its server is only slow: a
+// sub-request that can't be sent again, or any one with KeepSilentRuns, runs far
+// longer than later ones on other connections.
+func TestSlowRunIsNotGivenUp(t *testing.T) {
+	for _, keepAll := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			h := newHarness(t, config(testSlots, []wire.ReplicaID{r1}), true, func(o *Options) { o.KeepSilentRuns = keepAll })
+			defer h.close()
+			s := h.dialer.server(r1)
+			s.set(func(s *fakeServer) { s.serviceTime = 3 * time.Second })
+			slow := h.sendOne(keepAll, r1, 5*time.Second)
+			time.Sleep(time.Millisecond)
+			s.set(func(s *fakeServer) { s.serviceTime = 5 * time.Millisecond })
+			for range 20 {
+				h.send(r1, time.Second, 1)
+				time.Sleep(50 * time.Millisecond)
+			}
+			g.Expect(h.reply(slow)).To(Equal(wire.Reply{}), "still running")
+			time.Sleep(2200 * time.Millisecond)
+			g.Expect(h.reply(slow).Outcome).To(Equal(wire.Answered))
+			g.Expect(s.openConns()).To(Equal(testSlots + 1))
+		})
+	}
+}
