--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,10 @@
 CHECKS ?= 5000
 FUZZ_PACKAGES ?= ./internal/proof ./internal/owner ./internal/scatter ./internal/rollout
 FUZZ_TIMEOUT ?= 2h
+# Time of each native fuzz run of a decoder, whose seeds run in every make test.
+DECODER_FUZZ_TIME ?= 1m
 
-.PHONY: build demo test bench capacity fuzz soak lint format generate generate-check
+.PHONY: build demo test bench capacity fuzz mutants soak lint format generate generate-check
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -32,9 +34,16 @@
 # It runs without the race detector, whose runtime at times fails an internal
 # check ("tsan_rtl.cpp:346") after some thousand bubbles in one process.
 fuzz:
+	$(GO) test ./internal/catalog -run '^$$' -fuzz '^FuzzPeerState$$' -fuzztime $(DECODER_FUZZ_TIME)
+	$(GO) test ./platform -run '^$$' -fuzz '^FuzzDecodeEntries$$' -fuzztime $(DECODER_FUZZ_TIME)
+	$(GO) test ./platform -run '^$$' -fuzz '^FuzzDecodeRequest$$' -fuzztime $(DECODER_FUZZ_TIME)
 	$(GO) test -count=1 -timeout $(FUZZ_TIMEOUT) $(FUZZ_PACKAGES) -run 'Stateful|AgainstOracle|UnderFaults' \
 		-rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
 
+# Breaks one condition at a time and expects its test to fail.
+mutants:
+	$(GO) run ./internal/tools/mutants
+
 # Runs edged as real processes under random faults, several seeds at a time:
 # make soak SEED=100 SEEDS=50. A seed that fails goes into failedSeeds of
 # platform/soak_test.go with a line on its cause.
--- a/internal/aggregate/aggregate_test.go
+++ b/internal/aggregate/aggregate_test.go
@@ -1,6 +1,7 @@
 package aggregate
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -224,3 +225,24 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(far.runs.Load()).To(BeEquivalentTo(1))
 }
+
+// Guards against a reply of a peer that broke off, or names no outcome, and reaches
+// the caller as an answer without parts.
+func TestReplyWithoutOutcomeIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	for _, reply := range []string{`{}`, `null`, `[]`, `{"Proofs":[]}`, `{"Proofs":["p"]`, `{"Proofs":["p"],"Failure":7}`, ``, strings.Repeat(`{"a":`, 20000)} {
+		g := NewWithT(t)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body := bufio.NewReader(r.Body)
+			_, err := body.ReadString('\n')
+			w.WriteHeader(http.StatusEarlyHints)
+			if err == nil && readConfirmation(body) {
+				_, _ = io.WriteString(w, reply)
+			}
+		}))
+		outcome, err := newTestClient([]string{strings.TrimPrefix(server.URL, "http://")}).Forward(t.Context(), newTestQuery("x"))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(outcome.Failure).To(Equal(gateway.FailedUnknown), reply)
+		server.Close()
+	}
+}
--- a/internal/backend/httpconn/conn.go
+++ b/internal/backend/httpconn/conn.go
@@ -45,10 +45,9 @@
 }
 
 const (
-	// maxHeadBytes and maxHeadLines bound the head of a response, with the interim
-	// responses before it. A field takes much more memory than its bytes.
+	// maxHeadBytes bounds the head of a response, with the interim responses before
+	// it. A field takes up to ten times the memory of its bytes.
 	maxHeadBytes = 32 << 10
-	maxHeadLines = 256
 	// maxInterimResponses bounds the interim responses that are skipped.
 	maxInterimResponses = 5
 )
--- a/internal/backend/httpconn/endless_test.go
+++ b/internal/backend/httpconn/endless_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -36,6 +37,7 @@
 	"status line":      {"HTTP/1.1 200 ", "OKOKOKOKOKOKOKOK"},
 	"fields":           {"HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"},
 	"short fields":     {"HTTP/1.1 200 OK\r\n", "a:\r\nb:\r\n"},
+	"distinct fields":  {"HTTP/1.1 200 OK\r\n", distinctFields()},
 	"empty lines":      {"", "\r\n"},
 	"interim":          {"", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
 	"unframed body":    {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "xxxxxxxxxxxxxxxx"},
@@ -48,6 +50,16 @@
 	"trailer":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Field: value\r\n"},
 }
 
+// distinctFields returns short fields with different names, which take the most
+// memory for their bytes.
+func distinctFields() string {
+	var text strings.Builder
+	for n := range 20000 {
+		text.WriteString(strconv.FormatInt(int64(n), 36) + ":\r\n")
+	}
+	return text.String()
+}
+
 // endlessServer answers every request with an endless response.
 func endlessServer(t *testing.T, prefix, repeated string) string {
 	t.Helper()
@@ -56,7 +68,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	block := []byte(strings.Repeat(repeated, 32<<10/len(repeated)))
+	block := []byte(strings.Repeat(repeated, max(1, 32<<10/len(repeated))))
 	go func() {
 		for {
 			conn, err := listener.Accept()
--- a/internal/backend/httpconn/stream.go
+++ b/internal/backend/httpconn/stream.go
@@ -1,7 +1,6 @@
 package httpconn
 
 import (
-	"bytes"
 	"net"
 
 	"github.com/pkg/errors"
@@ -10,21 +9,18 @@
 )
 
 // limitedStream is a connection that counts the bytes written in a call, and
-// limits the bytes and lines of a response's head.
+// limits the bytes of a response's head.
 type limitedStream struct {
 	conn      net.Conn
 	written   int64 // bytes, since the start of the call
 	inHead    bool
 	bytesLeft int // bytes that may still be read in the head
-	linesLeft int // line breaks that may still be read in the head
 }
 
-// beginHead starts the limits of a head.
-func (s *limitedStream) beginHead() {
-	s.inHead, s.bytesLeft, s.linesLeft = true, maxHeadBytes, maxHeadLines
-}
+// beginHead starts the limit of a head.
+func (s *limitedStream) beginHead() { s.inHead, s.bytesLeft = true, maxHeadBytes }
 
-// endHead ends the limits.
+// endHead ends the limit.
 func (s *limitedStream) endHead() { s.inHead = false }
 
 // Write implements io.Writer.
@@ -35,19 +31,15 @@
 }
 
 // Read implements io.Reader. Within a head it returns *readlimit.Error if the
-// bytes read before exceed a limit. The bytes of one read may exceed it, because
-// they may belong to the body; their number is that of the reader's buffer.
+// bytes read before exceed the limit. Those of one read may exceed it, because they
+// may belong to the body; their number is that of the reader's buffer.
 func (s *limitedStream) Read(p []byte) (int, error) {
 	if s.inHead && s.bytesLeft <= 0 {
 		return 0, errors.WithStack(&readlimit.Error{What: "head of a response", Limit: maxHeadBytes, Unit: readlimit.Bytes})
 	}
-	if s.inHead && s.linesLeft <= 0 {
-		return 0, errors.WithStack(&readlimit.Error{What: "head of a response", Limit: maxHeadLines, Unit: readlimit.Lines})
-	}
 	n, err := s.conn.Read(p)
 	if s.inHead {
 		s.bytesLeft -= n
-		s.linesLeft -= bytes.Count(p[:n], []byte{'\n'})
 	}
 	return n, err
 }
