Open no warm connections before the hosts have counted each other

Each host had no fleet for 0.25 to 1 s, took itself for one of eight, and opened a warm connection to each replica: 195 where a replica takes 120.

Change: for 2 s after its start a host that is not known as an aggregator opens connections for merged queries on demand. After that its share is known from the count.

Load pattern: TestStartingHostsKeepNoWarmConnections.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,6 +32,7 @@
 	table   *routing.Table
 	servers serverTable
 	share   Share
+	settled bool // see settleAfterStart
 	changes changeLog
 	// revision is the source revision up to which server changes are applied.
 	revision uint64
@@ -51,7 +53,7 @@
 		return nil, err
 	}
 	return &Catalog{
-		options: options, servers: newServerTable(), share: Share{Hosts: defaultHosts},
+		options: options, servers: newServerTable(), share: Share{Hosts: defaultHosts}, settled: options.Leadership == nil,
 		changes:      changeLog{run: time.Now().UnixNano()},
 		tableHeardAt: -neverHeardAge, serversHeardAt: -neverHeardAge,
 	}, nil
@@ -103,6 +105,18 @@
 	c.rebuild()
 }
 
+// settleAfterStart ends the time in which hosts that started together count each
+// other. Until then this host keeps no warm connections for merged queries: one
+// from each host would exceed the replicas' limits where there are many, and the
+// replicas would reset those that carry requests.
+func (c *Catalog) settleAfterStart(ctx context.Context) {
+	sleep(ctx, settleTime)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.settled = true
+	c.rebuild()
+}
+
 // SetExtraBudget sets the budget of retries and hedges; see Options.ExtraLoad and
 // Options.ExtraBurst.
 func (c *Catalog) SetExtraBudget(load float64, burst int) {
@@ -274,7 +288,7 @@
 	}
 	view := &View{
 		Table:  c.table,
-		Config: newConfigBuilder(&c.options, c.share, c.servers.known, previous).build(c.table),
+		Config: newConfigBuilder(&c.options, c.share, c.settled, c.servers.known, previous).build(c.table),
 
 		healthPaths: healthPaths(c.table, c.servers.known),
 	}
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -418,3 +418,33 @@
 	g.Expect(c.HealthPath("i-1")).To(Equal("/own"))
 	g.Expect(c.HealthPath("i-2")).To(Equal(routing.DefaultHealthPath))
 }
+
+// Load pattern: all hosts of a large fleet start at the same time, after a power
+// loss. Guards against warm connections from each of them to each replica before
+// they have counted each other: replicas reset what exceeds their limit.
+func TestStartingHostsKeepNoWarmConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c, err := New(Options{Source: newSource(), Leadership: &fakeLeadership{}})
+		g.Expect(err).NotTo(HaveOccurred())
+		c.SetTable(&routing.Table{Version: 1, Routes: []routing.Route{
+			{Name: "all", Repeatable: true, Timeout: time.Second, Shards: []string{"a", "b"}},
+			{Name: "one", Repeatable: true, Timeout: time.Second, Targets: []routing.Target{{Service: "c", Weight: 1}}},
+		}}, "test")
+		onDemand := func(services ...string) bool { return c.View().Config.Services[ServiceName(services)].ConnectOnDemand }
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		group.Go(func() { _ = c.Run(ctx) })
+		defer func() { cancel(); group.Wait() }()
+		g.Expect(onDemand("a", "b")).To(BeTrue())
+		g.Expect(onDemand("c")).To(BeFalse(), "its limit allows for all hosts")
+		c.SetShare(Share{Hosts: 1}) // the first leader knows only itself
+		time.Sleep(time.Second)
+		g.Expect(onDemand("a", "b")).To(BeTrue())
+		c.SetShare(Share{Hosts: 195, Aggregators: 15, IsAggregator: true})
+		g.Expect(onDemand("a", "b")).To(BeFalse(), "it answers the queries of others")
+		c.SetShare(Share{Hosts: 9})
+		time.Sleep(settleTime)
+		g.Expect(onDemand("a", "b")).To(BeFalse(), "each of a few hosts answers its own queries")
+	})
+}
--- a/internal/catalog/config.go
+++ b/internal/catalog/config.go
@@ -74,12 +74,13 @@
 type configBuilder struct {
 	options  *Options
 	share    Share               // of the connections and the retry budget
+	settled  bool                // the share is known from the count of the hosts
 	previous *release.Config     // nil for the first configuration
 	servers  map[string][]Server // not draining, by service, sorted by id
 }
 
-func newConfigBuilder(options *Options, share Share, known map[string]Server, previous *release.Config) *configBuilder {
-	b := &configBuilder{options: options, share: share, previous: previous, servers: map[string][]Server{}}
+func newConfigBuilder(options *Options, share Share, settled bool, known map[string]Server, previous *release.Config) *configBuilder {
+	b := &configBuilder{options: options, share: share, settled: settled, previous: previous, servers: map[string][]Server{}}
 	for _, id := range slices.Sorted(maps.Keys(known)) {
 		if server := known[id]; !server.Draining {
 			b.servers[server.Service] = append(b.servers[server.Service], server)
@@ -146,7 +147,7 @@
 	// share is doubled to compensate.
 	connections := uint32(b.share.portion(float64(s.MaxConnections), merged))
 	s.LocalWarmConnectionsOnly = connections < minWarmShare
-	s.ConnectOnDemand = merged && b.share.Aggregators > 0 && !b.share.IsAggregator
+	s.ConnectOnDemand = merged && !b.share.IsAggregator && (b.share.Aggregators > 0 || !b.settled)
 	s.MaxConnections = 2 * max(1, connections)
 	return b.reuseUnchanged(s)
 }
--- a/internal/catalog/follow_source.go
+++ b/internal/catalog/follow_source.go
@@ -18,11 +18,16 @@
 	if c.options.Leadership != nil {
 		group.Go(func() { c.followPeers(ctx) })
 		group.Go(func() { c.startFromSource(ctx) })
+		group.Go(func() { c.settleAfterStart(ctx) })
 	}
 	group.Wait()
 	return nil
 }
 
+// settleTime is how long hosts that start together need to find their leaders and
+// to be counted by them.
+const settleTime = 2 * time.Second
+
 // peerStartWait is how long a starting host waits for the state of a peer before
 // it reads the source itself. It is short because no peer has a state when all
 // hosts start together, and finding a leader takes several calls.
