Share the scripted server of the endless responses' test

Cause: two servers of one test file did the same. Change: one calls the other. No code of the product changes.

--- a/internal/backend/httpconn/endless_test.go
+++ b/internal/backend/httpconn/endless_test.go
@@ -62,32 +62,13 @@
 
 // endlessServer answers every request with an endless response.
 func endlessServer(t *testing.T, prefix, repeated string) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
 	block := []byte(strings.Repeat(repeated, max(1, 32<<10/len(repeated))))
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-					return
-				}
-				_, err := io.WriteString(conn, prefix)
-				for err == nil {
-					_, err = conn.Write(block)
-				}
-			}()
+	return scriptServer(t, func(conn net.Conn) {
+		_, err := io.WriteString(conn, prefix)
+		for err == nil {
+			_, err = conn.Write(block)
 		}
-	}()
-	return listener.Addr().String()
+	})
 }
 
 // writeGet writes a request without a body.
