--- a/internal/backend/httpconn/conn.go
+++ b/internal/backend/httpconn/conn.go
@@ -46,7 +46,7 @@
 
 const (
 	// maxHeadBytes bounds the head of a response, with the interim responses before
-	// it. A field takes up to ten times the memory of its bytes.
+	// it. A short field takes many times the memory of its bytes.
 	maxHeadBytes = 16 << 10
 	// maxInterimResponses bounds the interim responses that are skipped.
 	maxInterimResponses = 5
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -42,7 +42,7 @@
 	callbacks                    []func(*View)
 	catchingUp                   atomic.Bool
 	// failingWatches is the number of loops (table, servers) whose last call to
-	// the source failed, while this host leads.
+	// the source failed, while this host reads it.
 	failingWatches atomic.Int32
 }
 
--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -17,9 +17,10 @@
 	"github.com/arbutusgauge/arbutusgauge/internal/routing"
 )
 
-// PathState is the path at which a host serves its catalog state to peers. Only
-// a few hosts read the source; the others poll one of them, because calls to
-// the source cost money and are limited for all hosts together.
+// PathState is the path at which a host serves its catalog state to peers. Usually
+// one host reads the source; the leaders poll it and the other hosts poll their
+// leader, because calls to the source cost money and are limited for all hosts
+// together.
 const PathState = "/v1/state"
 
 const (
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -67,7 +67,8 @@
 	WatchServers(ctx context.Context, after uint64, wait time.Duration) (ServerChanges, error)
 }
 
-// Leadership decides which hosts read the source for the others.
+// Leadership decides which host reads the source for the others, and whom they
+// poll.
 type Leadership interface {
 	// Reads reports whether this host reads the source itself.
 	Reads() bool
