Log the rate limits that replicas name, and what is sent to them

The adapter now decodes it into wire.RateLimit, and internal/ratelimit logs each change with its source and the requests sent meanwhile; a counter and a gauge go with it. Nothing is limited yet.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -25,6 +25,7 @@
 	"github.com/arbutusgauge/arbutusgauge/internal/gateway"
 	"github.com/arbutusgauge/arbutusgauge/internal/lead"
 	"github.com/arbutusgauge/arbutusgauge/internal/owner"
+	"github.com/arbutusgauge/arbutusgauge/internal/ratelimit"
 	"github.com/arbutusgauge/arbutusgauge/internal/readlimit"
 	"github.com/arbutusgauge/arbutusgauge/internal/scatter"
 	"github.com/arbutusgauge/arbutusgauge/internal/textmetrics"
@@ -49,6 +50,7 @@
 	lead          *lead.Agent
 	hostCount     lead.HostCount // used by OnFleet only, which has no concurrent calls
 	owner         *owner.Owner
+	rateLimits    *ratelimit.Registry
 	engine        *scatter.Engine
 	gateway       *gateway.Gateway
 	callerHandler *platform.CallerHandler
@@ -128,6 +130,12 @@
 // newQueryModules creates the modules that run queries on replicas.
 func (h *Host) newQueryModules() error {
 	var err error
+	h.rateLimits, err = ratelimit.New(ratelimit.Options{
+		Clock: boottime.Now, Scope: h.scope.SubScope("ratelimit"), Logger: h.log,
+	})
+	if err != nil {
+		return err
+	}
 	h.owner, err = owner.New(owner.Options{
 		DataCentre:             h.settings.DataCentre,
 		AllDataCentres:         true,
@@ -136,6 +144,7 @@
 		WarmConnections:        warmConnections,
 		Dialer:                 platform.NewDialer(h.readBudget, h.catalog.HealthPath),
 		Ownership:              ownsAll{},
+		RateLimiter:            h.rateLimits,
 		Scope:                  h.scope.SubScope("owner"),
 		Logger:                 h.log,
 		Timings: owner.Timings{
--- a/internal/owner/health.go
+++ b/internal/owner/health.go
@@ -102,6 +102,7 @@
 		r.applyReply(c, reply, now, fx)
 	}
 	took := now.Sub(c.runStarted)
+	r.owner.options.RateLimiter.Observe(r.id, reply.RateLimit, took)
 	if reply.Outcome == wire.Unknown && took > r.latency.recentMean {
 		r.latency.addRecent(took, now)
 	}
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -30,6 +30,8 @@
 	// LeavingServer reports whether the host list names the backend server of a
 	// replica as leaving. Default: no server is leaving.
 	LeavingServer func(wire.ReplicaID) bool
+	// RateLimiter keeps the limits that replicas name. Default: they are ignored.
+	RateLimiter RateLimiter
 	// WarmConnections is the number of connections kept open to an owned replica
 	// without work. More are opened when sub-requests wait, and closed after
 	// Timings.IdleTimeout without use. Default 0: one more than the slots, which
@@ -130,6 +132,9 @@
 	if o.LeavingServer == nil {
 		o.LeavingServer = func(wire.ReplicaID) bool { return false }
 	}
+	if o.RateLimiter == nil {
+		o.RateLimiter = noRateLimits{}
+	}
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
--- a/internal/owner/replica.go
+++ b/internal/owner/replica.go
@@ -224,6 +224,7 @@
 		a.state.Store(stateAssigned)
 		r.inFlight++
 		r.dataCentre.recordSent(now)
+		r.owner.options.RateLimiter.RecordSent(r.id)
 		c := r.pool.takeMostRecentlyUsed()
 		r.pool.addBusy(c, a, now)
 		c.jobs <- job{attempt: a}
--- a/internal/owner/types.go
+++ b/internal/owner/types.go
@@ -1,6 +1,10 @@
 package owner
 
-import "github.com/arbutusgauge/arbutusgauge/internal/wire"
+import (
+	"time"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/wire"
+)
 
 // Ownership decides which replicas this host owns.
 type Ownership interface {
@@ -9,6 +13,22 @@
 	Owns(service string, shard uint32, replica wire.ReplicaID) bool
 }
 
+// RateLimiter keeps the rate limits that replicas name in their responses. It is
+// called with a replica locked and must not block or call the owner.
+type RateLimiter interface {
+	// Observe records what a response says of the limit; took is the time since
+	// its request was sent.
+	Observe(replica wire.ReplicaID, limit wire.RateLimit, took time.Duration)
+	// RecordSent counts a sub-request that is about to be sent.
+	RecordSent(replica wire.ReplicaID)
+}
+
+// noRateLimits is a RateLimiter that ignores all limits.
+type noRateLimits struct{}
+
+func (noRateLimits) Observe(wire.ReplicaID, wire.RateLimit, time.Duration) {}
+func (noRateLimits) RecordSent(wire.ReplicaID)                             {}
+
 // ReplicaInfo is the state of a replica as observed by this host.
 type ReplicaInfo struct {
 	Replica     wire.ReplicaID
--- a/internal/wire/subrequest.go
+++ b/internal/wire/subrequest.go
@@ -101,6 +101,27 @@
 	Rows     []Row
 	Held     SnapshotRange
 	Load     Load
+	// RateLimit is what the server's response says of its limit. It stays zero in
+	// a reply that does not come from the server.
+	RateLimit RateLimit
+}
+
+// RateLimitState says whether a response names a rate limit.
+type RateLimitState uint8
+
+const (
+	// RateLimitUnstated means that nothing is known, as without a response.
+	RateLimitUnstated RateLimitState = iota
+	// RateUnlimited means that the server answered and names no limit.
+	RateUnlimited
+	// RateLimited means that the server names a limit.
+	RateLimited
+)
+
+// RateLimit is the rate that a server in need takes from all hosts together.
+type RateLimit struct {
+	State     RateLimitState
+	PerSecond float64 // requests a second, if State is RateLimited
 }
 
 // Sender sends sub-requests to replicas, directly or through the hosts that own
