Keep the rate limit of a replica for all hosts together

Callers saw replicas in need overrun: a replica that named 1.1 requests a second got about 10 a second from six hosts, as before the limit.

Cause: a limit that belongs to all hosts together was known to none. Class: a bound on the sum over the hosts, with state in each host alone. Ruled out by design: an equal share for each host, which leaves a host of 195 one request in three minutes and lets saved-up shares burst.

The leader of a replica's data centre grants permits at the named rate, each for one request within a short time. Hosts ask when a query has a limited replica among its choices, and wait only where the query can't do without; a query that gets none is refused at once with Retry-After. While the leader does not answer, each host keeps a share of a third of the limit. Limits spread with the state that hosts poll, so a restarted host knows them.

--- a/internal/catalog/options.go
+++ b/internal/catalog/options.go
@@ -31,6 +31,9 @@
 	// Leadership tells which hosts read the source for the others. Nil means that
 	// this host always reads it itself.
 	Leadership Leadership
+	// RateLimits are the rate limits of the servers, which hosts tell each other with
+	// their state. Nil: none are told.
+	RateLimits RateLimits
 	// HostName and Cores describe this host to the peers that it polls; Cores is
 	// its processor share, in cores.
 	HostName string
--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/arbutusgauge/arbutusgauge/internal/lead"
+	"github.com/arbutusgauge/arbutusgauge/internal/ratelimit"
 	"github.com/arbutusgauge/arbutusgauge/internal/readlimit"
 	"github.com/arbutusgauge/arbutusgauge/internal/routing"
 )
@@ -96,6 +97,10 @@
 	Full    bool           `json:"full,omitempty"`
 	Servers []Server       `json:"servers,omitempty"`
 	Changes []ServerChange `json:"changes,omitempty"`
+	// RateLimits are the limits that changed since the peer's position, and
+	// RateLimitsRevision is the position after them.
+	RateLimits         []ratelimit.Known `json:"rate_limits,omitempty"`
+	RateLimitsRevision uint64            `json:"rate_limits_revision,omitempty"`
 }
 
 // decodePeerState decodes the answer of a peer. *StateError reports one that no host
@@ -129,6 +134,8 @@
 	version uint64 // of the routing table that this host has
 	run     int64  // run and newest of the peer's change log; 0: nothing yet
 	newest  uint64
+	// rateLimits is the position in the rate limits of the process run.
+	rateLimits uint64
 }
 
 // ServeState serves this host's state to a peer, from the position in the query
@@ -150,6 +157,13 @@
 			answer.Fleet = leadership.Fleet()
 		}
 	}
+	if answer != nil && c.options.RateLimits != nil {
+		known := parseUintOrZero(query.Get("rate_limits"))
+		if query.Get("run") != strconv.FormatInt(answer.Run, 10) {
+			known = 0 // a position at another process
+		}
+		answer.RateLimits, answer.RateLimitsRevision = c.options.RateLimits.Since(known)
+	}
 	if answer == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -338,7 +352,12 @@
 		c.SetTable(answer.Table, "peer")
 	}
 	c.applyPeerState(answer, began)
-	cursor.run, cursor.newest = answer.Run, answer.Newest
+	if c.options.RateLimits != nil {
+		if err := c.options.RateLimits.Learn(answer.RateLimits); err != nil {
+			c.options.Logger.WithError(err).WithField("peer", cursor.peer).Warn("rate limits of a peer refused")
+		}
+	}
+	cursor.run, cursor.newest, cursor.rateLimits = answer.Run, answer.Newest, answer.RateLimitsRevision
 	if leadership := c.options.Leadership; leadership != nil && len(answer.Fleet.Seats) > 0 {
 		leadership.AdoptFleet(answer.Fleet)
 	}
@@ -370,11 +389,12 @@
 
 func (c *Catalog) fetchState(ctx context.Context, client *http.Client, cursor peerCursor) (*peerState, error) {
 	query := url.Values{
-		"version": {strconv.FormatUint(cursor.version, 10)},
-		"run":     {strconv.FormatInt(cursor.run, 10)},
-		"next":    {strconv.FormatUint(cursor.newest, 10)},
-		"host":    {c.options.HostName},
-		"cores":   {strconv.FormatFloat(c.options.Cores, 'f', -1, 64)},
+		"version":     {strconv.FormatUint(cursor.version, 10)},
+		"run":         {strconv.FormatInt(cursor.run, 10)},
+		"next":        {strconv.FormatUint(cursor.newest, 10)},
+		"host":        {c.options.HostName},
+		"rate_limits": {strconv.FormatUint(cursor.rateLimits, 10)},
+		"cores":       {strconv.FormatFloat(c.options.Cores, 'f', -1, 64)},
 	}
 	if cursor.follows {
 		query.Set("follows", "1")
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/arbutusgauge/arbutusgauge/internal/lead"
+	"github.com/arbutusgauge/arbutusgauge/internal/ratelimit"
 	"github.com/arbutusgauge/arbutusgauge/internal/routing"
 	"github.com/arbutusgauge/arbutusgauge/internal/wire"
 )
@@ -88,6 +89,14 @@
 	AdoptFleet(fleet lead.Fleet)
 }
 
+// RateLimits are the rate limits of the servers that a host knows.
+type RateLimits interface {
+	// Since returns the limits that changed after a revision, and the present one.
+	Since(revision uint64) ([]ratelimit.Known, uint64)
+	// Learn records limits that a peer knows. An error reports malformed ones.
+	Learn(limits []ratelimit.Known) error
+}
+
 // HistoryGoneError reports that the source no longer holds the changes after a
 // revision. The watcher must read the full state again.
 type HistoryGoneError struct{ After uint64 }
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -4,6 +4,7 @@
 	"github.com/arbutusgauge/arbutusgauge/internal/aggregate"
 	"github.com/arbutusgauge/arbutusgauge/internal/catalog"
 	"github.com/arbutusgauge/arbutusgauge/internal/lead"
+	"github.com/arbutusgauge/arbutusgauge/internal/ratelimit"
 	"github.com/arbutusgauge/arbutusgauge/internal/release"
 )
 
@@ -18,6 +19,16 @@
 	return share
 }
 
+// permitLeaders returns the hosts that grant permits for replicas with a rate limit, of
+// which host may be one.
+func permitLeaders(fleet lead.Fleet, host string) []ratelimit.Leader {
+	var out []ratelimit.Leader
+	for _, seat := range fleet.Leaders() {
+		out = append(out, ratelimit.Leader{DataCentre: seat.DataCentre, PeerAddr: seat.PeerAddr, Self: seat.Name == host})
+	}
+	return out
+}
+
 // minShardsHeld is the share of a service's shards with a replica in a data centre
 // from which the data centre counts as one that holds the service. It is below 1,
 // so that a lost replica does not move all queries elsewhere.
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -91,6 +91,17 @@
 func (h *Host) newCatalog() error {
 	store := platform.NewStore(h.settings.StoreAddr, h.scope.SubScope("store"), h.log)
 	var err error
+	h.rateLimits, err = ratelimit.New(ratelimit.Options{
+		Clock:        boottime.Now,
+		Leaders:      func() []ratelimit.Leader { return permitLeaders(h.lead.Fleet(), h.settings.Host) },
+		DataCentreOf: func(replica wire.ReplicaID) string { return h.owner.DataCentreOf(replica) },
+		Transport:    ratelimit.NewHTTPTransport(),
+		Scope:        h.scope.SubScope("ratelimit"),
+		Logger:       h.log,
+	})
+	if err != nil {
+		return err
+	}
 	h.lead, err = lead.New(lead.Options{
 		Registry: platform.NewSeatRegistry(store),
 		Host: lead.Host{
@@ -99,6 +110,7 @@
 		OnFleet: func(fleet lead.Fleet) {
 			hosts := h.hostCount.Update(fleet.Hosts(), time.Now())
 			h.catalog.SetShare(shareOf(fleet, hosts, h.settings.Host))
+			h.rateLimits.SetHosts(hosts)
 		},
 		Logger: h.log,
 	})
@@ -109,6 +121,7 @@
 		Source:       store,
 		AnswerMargin: answerMargin,
 		Leadership:   h.lead,
+		RateLimits:   h.rateLimits,
 		HostName:     h.settings.Host,
 		Cores:        h.settings.Cores,
 		Clock:        boottime.Now,
@@ -130,12 +143,6 @@
 // newQueryModules creates the modules that run queries on replicas.
 func (h *Host) newQueryModules() error {
 	var err error
-	h.rateLimits, err = ratelimit.New(ratelimit.Options{
-		Clock: boottime.Now, Scope: h.scope.SubScope("ratelimit"), Logger: h.log,
-	})
-	if err != nil {
-		return err
-	}
 	h.owner, err = owner.New(owner.Options{
 		DataCentre:             h.settings.DataCentre,
 		AllDataCentres:         true,
@@ -166,6 +173,7 @@
 		Incarnation:   uint64(time.Now().UnixNano()),
 		MinHedgeDelay: minHedgeDelay,
 		EstimateWait:  h.owner.EstimateWait,
+		RateLimited:   h.rateLimits.Limited,
 		Scope:         h.scope.SubScope("scatter"),
 		Logger:        h.log,
 	})
@@ -194,7 +202,8 @@
 	})
 	var err error
 	h.gateway, err = gateway.New(gateway.Options{
-		Engine: h.engine, View: h.catalog.View, Forwarder: forwarder, OnNewerTable: h.catalog.CatchUp, Scope: h.scope.SubScope("gateway"),
+		Engine: h.engine, View: h.catalog.View, Forwarder: forwarder, OnNewerTable: h.catalog.CatchUp, Permits: h.rateLimits,
+		Scope: h.scope.SubScope("gateway"),
 	})
 	if err != nil {
 		return err
@@ -232,6 +241,7 @@
 	readiness.GET(platform.PathReady, h.serveReadiness)
 	peers := echo.New()
 	peers.GET(catalog.PathState, echo.WrapHandler(http.HandlerFunc(h.catalog.ServeState)))
+	peers.POST(ratelimit.PathPermits, echo.WrapHandler(http.HandlerFunc(h.rateLimits.ServePermits)))
 	queries := aggregate.NewServer(h.gateway, h.isLeaving, h.readBudget, h.scope.SubScope("aggregate"), h.log)
 	peers.POST(aggregate.PathQuery, func(c echo.Context) error {
 		// echo's own writer would take the interim response for the final one.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/arbutusgauge/arbutusgauge/internal/catalog"
+	"github.com/arbutusgauge/arbutusgauge/internal/release"
 	"github.com/arbutusgauge/arbutusgauge/internal/routing"
 	"github.com/arbutusgauge/arbutusgauge/internal/scatter"
 )
@@ -138,6 +139,7 @@
 func (g *Gateway) runLocally(ctx context.Context, view *catalog.View, query scatter.Query, result *Result) (*Answer, error) {
 	route := result.Route
 	query.Config, query.Service, query.Search, query.Repeatable = view.Config, result.Service, route.Name, route.Repeatable
+	g.preparePermits(ctx, view.Config.Services[result.Service], &query)
 	engineAnswer, err := g.options.Engine.Run(ctx, query)
 	if err != nil {
 		result.Work, result.Coverage = workOf(err)
@@ -147,6 +149,20 @@
 	return newAnswer(route, engineAnswer), nil
 }
 
+// preparePermits gets permits for a query of a service and takes the time that this needs
+// from the query.
+func (g *Gateway) preparePermits(ctx context.Context, service *release.Service, query *scatter.Query) {
+	if g.options.Permits == nil {
+		return
+	}
+	began := time.Now()
+	g.options.Permits.Prepare(ctx, service)
+	waited := time.Since(began)
+	query.Elapsed += waited
+	// A deadline of 0 would mean that of the search.
+	query.Deadline = max(query.Deadline-waited, time.Nanosecond)
+}
+
 // Version returns the version of the current routing table, 0 while none is known.
 func (g *Gateway) Version() uint64 {
 	view := g.options.View()
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/arbutusgauge/arbutusgauge/internal/catalog"
+	"github.com/arbutusgauge/arbutusgauge/internal/release"
 	"github.com/arbutusgauge/arbutusgauge/internal/scatter"
 )
 
@@ -85,6 +86,13 @@
 	Forward(ctx context.Context, query *ForwardedQuery) (*ForwardOutcome, error)
 }
 
+// Permits gets permits to use replicas that name a rate limit.
+type Permits interface {
+	// Prepare gets the permits that a query of the service needs, as far as there are
+	// any. It waits for a few round trips at most.
+	Prepare(ctx context.Context, service *release.Service)
+}
+
 // Options configure a Gateway.
 type Options struct {
 	Engine Engine
@@ -95,6 +103,8 @@
 	// host has to answer a query. peer is its address. OnNewerTable may be nil.
 	OnNewerTable func(peer string)
 	// View returns the current view of the deployment, nil while none is known.
-	View  func() *catalog.View
-	Scope tally.Scope // default: no metrics
+	View func() *catalog.View
+	// Permits gets permits for replicas that name a rate limit; nil: none is needed.
+	Permits Permits
+	Scope   tally.Scope // default: no metrics
 }
--- a/internal/owner/estimate.go
+++ b/internal/owner/estimate.go
@@ -25,7 +25,7 @@
 func (r *replica) estimateWait(now time.Time) (time.Duration, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.removed || r.closed || r.health.draining() || r.pool.unreachable() || r.dataCentre.silent.Load() {
+	if !r.usable() || !r.owner.options.RateLimiter.Allows(r.id) {
 		return 0, false
 	}
 	mean := r.estimatedLatency(now)
@@ -40,6 +40,12 @@
 	return wait, true
 }
 
+// usable reports whether the replica can be reached and takes work, apart from its
+// rate limit. The caller holds mu.
+func (r *replica) usable() bool {
+	return !r.removed && !r.closed && !r.health.draining() && !r.pool.unreachable() && !r.dataCentre.silent.Load()
+}
+
 // estimatedLatency returns the recent mean latency, halved for each
 // latencyHalfLife without a sample until it is at most assumedLatency.
 func (r *replica) estimatedLatency(now time.Time) time.Duration {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -123,8 +123,9 @@
 
 // EstimateWait returns the expected time until the replica answers one more
 // sub-request, and whether it is usable: it is in the configuration, is not
-// draining and, as far as is known, can be reached from this host. An ejected
-// replica counts as usable. The time is 0 if the replica isn't usable.
+// draining, its rate limit allows a sub-request and, as far as is known, it can be
+// reached from this host. An ejected replica counts as usable. The time is 0 if the
+// replica isn't usable.
 func (o *Owner) EstimateWait(id wire.ReplicaID) (wait time.Duration, usable bool) {
 	r := o.table.Load().replicas[id]
 	if r == nil {
@@ -133,10 +134,24 @@
 	return r.estimateWait(time.Now())
 }
 
-// Usable reports whether the replica is usable in the sense of EstimateWait.
+// Usable reports whether the replica is usable in the sense of EstimateWait, apart
+// from its rate limit, which says nothing of this host.
 func (o *Owner) Usable(id wire.ReplicaID) bool {
-	_, usable := o.EstimateWait(id)
-	return usable
+	r := o.table.Load().replicas[id]
+	if r == nil {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.usable()
+}
+
+// DataCentreOf returns the data centre of a replica in the configuration, or "".
+func (o *Owner) DataCentreOf(id wire.ReplicaID) string {
+	if r := o.table.Load().replicas[id]; r != nil {
+		return r.dataCentre.name
+	}
+	return ""
 }
 
 // SetConfig makes cfg the configuration in use. Replicas that are no longer in it
--- a/internal/owner/replica.go
+++ b/internal/owner/replica.go
@@ -180,6 +180,11 @@
 		fx.refuse(a, reason, r.load(now), r.health.held)
 		return
 	}
+	if !r.owner.options.RateLimiter.Take(r.id) {
+		a.transition(stateQueued, stateReplied)
+		fx.refuse(a, wire.ReasonRateLimited, r.load(now), r.health.held)
+		return
+	}
 	r.lastUsed = now
 	r.queue.push(a)
 	r.dispatch(now, fx)
@@ -224,7 +229,6 @@
 		a.state.Store(stateAssigned)
 		r.inFlight++
 		r.dataCentre.recordSent(now)
-		r.owner.options.RateLimiter.RecordSent(r.id)
 		c := r.pool.takeMostRecentlyUsed()
 		r.pool.addBusy(c, a, now)
 		c.jobs <- job{attempt: a}
--- a/internal/owner/types.go
+++ b/internal/owner/types.go
@@ -19,15 +19,19 @@
 	// Observe records what a response says of the limit; took is the time since
 	// its request was sent.
 	Observe(replica wire.ReplicaID, limit wire.RateLimit, took time.Duration)
-	// RecordSent counts a sub-request that is about to be sent.
-	RecordSent(replica wire.ReplicaID)
+	// Allows reports whether a sub-request may be sent to the replica now.
+	Allows(replica wire.ReplicaID) bool
+	// Take is called for each sub-request before it is sent. False means that the
+	// limit does not allow it.
+	Take(replica wire.ReplicaID) bool
 }
 
 // noRateLimits is a RateLimiter that ignores all limits.
 type noRateLimits struct{}
 
 func (noRateLimits) Observe(wire.ReplicaID, wire.RateLimit, time.Duration) {}
-func (noRateLimits) RecordSent(wire.ReplicaID)                             {}
+func (noRateLimits) Allows(wire.ReplicaID) bool                            { return true }
+func (noRateLimits) Take(wire.ReplicaID) bool                              { return true }
 
 // ReplicaInfo is the state of a replica as observed by this host.
 type ReplicaInfo struct {
--- a/internal/ratelimit/registry.go
+++ b/internal/ratelimit/registry.go
@@ -1,65 +1,104 @@
 // Package ratelimit keeps the rate limits that backend servers in need name in their
 // responses. A limit holds for the requests of all hosts together, for as long as
 // the server names it.
+//
+// One host grants the requests of a limited replica: the leader of the replica's
+// data centre. The other hosts ask it for permits when they have requests for the
+// replica, and each permit is for one request within a short time, so that the hosts
+// together keep the limit however the requests are spread over them. While the
+// grantor can't be reached, each host keeps an equal share of a part of the limit.
+// Hosts tell the leaders what they observe and learn the rest from the leader that
+// they follow, also after a restart.
 package ratelimit
 
 import (
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
-	"github.com/uber-go/tally/v4"
 
 	"github.com/arbutusgauge/arbutusgauge/internal/wire"
 )
 
-// Options configure a Registry.
-type Options struct {
-	// Clock returns a monotonic time that goes on while the host is suspended.
-	Clock  func() time.Duration
-	Scope  tally.Scope   // default: no metrics
-	Logger log.Interface // default: no log
-}
-
-// OptionError reports an unset field of Options.
-type OptionError struct{ Option string }
-
-// Error implements error.
-func (e *OptionError) Error() string { return "option " + e.Option + " of ratelimit is required" }
+const (
+	// retention is how long the end of a limit is remembered, so that older news of
+	// the limit from a peer does not bring it back.
+	retention = time.Minute
+	// minRate is the rate, in requests a second of all hosts, that is used although
+	// the limit is lower: only a response shows that the limit has ended.
+	minRate = 0.25
+	// lostShare is the part of a limit that the hosts share while its grantor can't be
+	// reached. It is below 1 because some hosts may reach the grantor meanwhile, which
+	// grants the whole limit to them.
+	lostShare = 1.0 / 3
+)
 
-// Registry knows the limits of the replicas. It is safe for concurrent use.
+// Registry knows the limits of the replicas and holds this host's permits. It is safe
+// for concurrent use.
 type Registry struct {
 	options Options
+	grantor *grantor
+	metrics metrics
 	// limitedCount is the number of replicas with a limit, for a check without mu.
 	limitedCount atomic.Int32
+	hosts        atomic.Int32 // number of hosts that share the limits
 
 	mu       sync.Mutex
+	revision uint64
 	replicas map[wire.ReplicaID]*replicaLimit
+	askers   map[string]*asker // by data centre of the replicas
 }
 
 // replicaLimit is what this host knows of the limit of one replica.
 type replicaLimit struct {
 	limit wire.RateLimit
 	since time.Duration // when this limit became known to this host
-	// observedAt is when the newest response that named the limit, or none, came.
+	// observedAt is when the newest response that named the limit, or none, reached a
+	// host.
 	observedAt time.Duration
-	sent       int // requests of this host since the limit became known
+	revision   uint64 // of the registry at the last change of the limit
+	own        bool   // the last change was observed by this host
+	sent       int    // requests of this host since the limit became known
+
+	permits permits
+	wanted  int // permits to ask for in the next question to the grantor
+	// deniedUntil is when the grantor expects to have another permit.
+	deniedUntil time.Duration
+	// shareNextAt is when the share of this host allows its next request, while the
+	// grantor can't be reached.
+	shareNextAt time.Duration
 }
 
+// limited reports whether the replica names a limit.
+func (l *replicaLimit) limited() bool { return l.limit.State == wire.RateLimited }
+
+// rate returns the requests a second of all hosts that the limit allows.
+func (l *replicaLimit) rate() float64 { return max(minRate, l.limit.PerSecond) }
+
 // New returns a registry without limits. A missing option gives *OptionError.
 func New(options Options) (*Registry, error) {
-	if options.Clock == nil {
-		return nil, &OptionError{Option: "Clock"}
+	if err := options.Validate(); err != nil {
+		return nil, err
 	}
-	if options.Scope == nil {
-		options.Scope = tally.NoopScope
+	r := &Registry{
+		options:  options,
+		grantor:  newGrantor(),
+		metrics:  newMetrics(options.Scope),
+		replicas: map[wire.ReplicaID]*replicaLimit{},
+		askers:   map[string]*asker{},
 	}
-	if options.Logger == nil {
-		options.Logger = &log.Logger{Handler: discard.Default}
+	r.hosts.Store(defaultHosts)
+	return r, nil
+}
+
+// SetHosts sets the number of hosts that share the limits. A number below 1 is
+// ignored.
+func (r *Registry) SetHosts(hosts int) {
+	if hosts > 0 {
+		r.hosts.Store(int32(hosts))
 	}
-	return &Registry{options: options, replicas: map[wire.ReplicaID]*replicaLimit{}}, nil
 }
 
 // Observe records what a response says of the limit of a replica; took is the time
@@ -73,53 +112,129 @@
 	defer r.mu.Unlock()
 	now := r.options.Clock()
 	known := r.replicas[replica]
-	if known == nil {
-		if limit.State == wire.RateUnlimited {
-			return
-		}
-		known = &replicaLimit{}
-		r.replicas[replica] = known
-	}
-	if limit.State == wire.RateUnlimited && now-took < known.observedAt {
+	switch {
+	case limit.State == wire.RateLimited:
+	case known == nil, now-took < known.observedAt:
 		return
 	}
-	r.apply(replica, known, limit, now, "response")
+	if r.set(replica, limit, now, sourceResponse) {
+		r.tellLeaders()
+	}
 }
 
-// apply makes limit the known limit of a replica, as observed at a time. source is
-// for the log only. The caller holds mu.
-func (r *Registry) apply(replica wire.ReplicaID, known *replicaLimit, limit wire.RateLimit, observedAt time.Duration, source string) {
+// Sources of a limit, for the log.
+const (
+	sourceResponse = "response"
+	sourcePeer     = "peer"
+)
+
+// set makes limit the known limit of a replica, as observed at a time, and reports
+// whether it changed. The caller holds mu.
+func (r *Registry) set(replica wire.ReplicaID, limit wire.RateLimit, observedAt time.Duration, source string) (changed bool) {
+	known := r.replicas[replica]
+	if known == nil {
+		known = &replicaLimit{}
+		r.replicas[replica] = known
+	}
 	known.observedAt = observedAt
 	if known.limit == limit {
-		return
+		return false
 	}
 	now := r.options.Clock()
-	fields := log.Fields{"replica": string(replica), "source": source}
-	switch {
-	case limit.State == wire.RateLimited:
-		if known.limit.State != wire.RateLimited {
+	fields := log.Fields{"replica": string(replica), "source": source, "age": now - observedAt}
+	if limit.State == wire.RateLimited {
+		if !known.limited() {
 			r.limitedCount.Add(1)
 		}
 		fields["per_second"] = limit.PerSecond
 		r.options.Logger.WithFields(fields).Info("rate limit of a replica")
-	default:
-		r.limitedCount.Add(-1)
+	} else {
+		if known.limited() {
+			r.limitedCount.Add(-1)
+		}
 		fields["sent"], fields["after"] = known.sent, now-known.since
 		r.options.Logger.WithFields(fields).Info("rate limit of a replica ended")
 	}
-	r.options.Scope.Gauge("limited_replicas").Update(float64(r.limitedCount.Load()))
+	r.metrics.limitedReplicas.Update(float64(r.limitedCount.Load()))
+	r.revision++
 	known.limit, known.since, known.sent = limit, now, 0
+	known.revision, known.own = r.revision, source == sourceResponse
+	known.shareNextAt = now + r.shareGap(known, rand.Float64())
+	return true
+}
+
+// shareGap returns the time in which the share of this host allows the given number
+// of requests to a replica.
+func (r *Registry) shareGap(known *replicaLimit, requests float64) time.Duration {
+	return time.Duration(requests * float64(r.hosts.Load()) / (lostShare * known.rate()) * float64(time.Second))
 }
 
-// RecordSent counts a request that is sent to a replica.
-func (r *Registry) RecordSent(replica wire.ReplicaID) {
+// Limited reports whether a replica names a limit.
+func (r *Registry) Limited(replica wire.ReplicaID) bool {
 	if r.limitedCount.Load() == 0 {
-		return
+		return false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if known := r.replicas[replica]; known != nil && known.limit.State == wire.RateLimited {
-		known.sent++
-		r.options.Scope.Counter("sent_to_limited").Inc(1)
+	known := r.replicas[replica]
+	return known != nil && known.limited()
+}
+
+// Allows reports whether a request may be sent to a replica now.
+func (r *Registry) Allows(replica wire.ReplicaID) bool {
+	if r.limitedCount.Load() == 0 {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.replicas[replica]
+	return known == nil || !known.limited() || r.hasPermit(replica, known)
+}
+
+// Take uses a permit for a request to a replica. It returns false if the request must
+// not be sent now.
+func (r *Registry) Take(replica wire.ReplicaID) bool {
+	if r.limitedCount.Load() == 0 {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.replicas[replica]
+	if known == nil || !known.limited() {
+		return true
+	}
+	if !r.hasPermit(replica, known) {
+		r.metrics.denied.Inc(1)
+		return false
+	}
+	now := r.options.Clock()
+	if !known.permits.take(now) {
+		known.shareNextAt = now + r.shareGap(known, 1)
+	}
+	known.sent++
+	r.metrics.sent.Inc(1)
+	return true
+}
+
+// hasPermit reports whether this host holds a permit for a limited replica or, while
+// the grantor can't be reached, its share allows a request. The caller holds mu.
+func (r *Registry) hasPermit(replica wire.ReplicaID, known *replicaLimit) bool {
+	now := r.options.Clock()
+	return known.permits.held(now) > 0 || now >= known.shareNextAt && r.askerOf(replica).isLost(now)
+}
+
+// forget drops what is no longer needed: ends of limits after retention, and limits of
+// replicas that are no longer known. The caller holds mu.
+func (r *Registry) forget() {
+	now := r.options.Clock()
+	for replica, known := range r.replicas {
+		if now-known.observedAt < retention || known.limited() && r.options.DataCentreOf(replica) != "" {
+			continue
+		}
+		if known.limited() {
+			r.limitedCount.Add(-1)
+		}
+		delete(r.replicas, replica)
+		r.grantor.forget(replica)
 	}
 }
--- a/internal/scatter/attempt.go
+++ b/internal/scatter/attempt.go
@@ -148,7 +148,7 @@
 		return
 	}
 	q.schedule(p, now.Add(q.hedgeDelay(now)))
-	r := q.selectReplica(p, p.running|q.excludedByMaxAttempts(p), now)
+	r := q.selectReplica(p, p.running|q.excludedByMaxAttempts(p)|q.rateLimited(p), now)
 	if r == nil {
 		return
 	}
@@ -209,6 +209,26 @@
 	return ^p.reached
 }
 
+// rateLimited returns the replicas, as bits, that name a rate limit. What they take is
+// for first tries and retries: a hedge would take it from another query.
+func (q *query) rateLimited(p *part) uint64 {
+	var bits uint64
+	for _, r := range p.shard.replicas {
+		if q.engine.options.RateLimited(r.id) {
+			bits |= r.bit()
+		}
+	}
+	return bits
+}
+
+// unreachableReason returns why no replica of a part can be used now.
+func (q *query) unreachableReason(p *part) wire.Reason {
+	if q.rateLimited(p) != 0 {
+		return wire.ReasonRateLimited
+	}
+	return wire.ReasonNoReplica
+}
+
 // queueExtraAttempt adds a hedge or a retry of part i to the outbox.
 func (q *query) queueExtraAttempt(i int, r *replicaState, now time.Time) {
 	seq := q.engine.lastSeq.Add(1)
@@ -264,7 +284,7 @@
 // noReplicaReason returns why none of a part's replicas is usable.
 func (q *query) noReplicaReason(p *part, now time.Time) wire.Reason {
 	if q.engine.options.EstimateWait != nil && !slices.ContainsFunc(p.shard.replicas, q.isReachable) {
-		return wire.ReasonNoReplica
+		return q.unreachableReason(p)
 	}
 	for _, r := range p.shard.replicas {
 		if _, known := r.heldSnapshots(now); known {
--- a/internal/scatter/options.go
+++ b/internal/scatter/options.go
@@ -40,6 +40,8 @@
 	// It is called for every candidate of an attempt and must not block. If nil,
 	// replicas are judged by their replies alone.
 	EstimateWait func(wire.ReplicaID) (wait time.Duration, usable bool)
+	// RateLimited reports whether a replica names a rate limit. If nil, none does.
+	RateLimited func(wire.ReplicaID) bool
 	// Delays are the one-way delays to the other data centres.
 	Delays map[string]time.Duration
 	// DefaultDelay is the one-way delay to a data centre that is not in Delays.
@@ -83,6 +85,9 @@
 	case o.Incarnation == 0:
 		return &OptionError{Option: "Incarnation", Problem: "must not be 0"}
 	}
+	if o.RateLimited == nil {
+		o.RateLimited = func(wire.ReplicaID) bool { return false }
+	}
 	if o.Random == nil {
 		o.Random = rand.NewPCG(rand.Uint64(), rand.Uint64())
 	}
--- a/internal/scatter/query.go
+++ b/internal/scatter/query.go
@@ -111,8 +111,8 @@
 	if !q.reachesLeastCoverage(q.requested - q.abandoned) {
 		return nil, &NotRunError{Reason: ReasonNoShard, Detail: "the shards hold too few of the requested ledgers to reach the least coverage", Coverage: q.coverage()}
 	}
-	if !q.leastCoverageReachable() {
-		return nil, &NotRunError{Reason: wire.ReasonNoReplica, Coverage: q.coverage()}
+	if reason := q.leastCoverageObstacle(); reason != wire.ReasonNone {
+		return nil, &NotRunError{Reason: reason, Coverage: q.coverage()}
 	}
 	return q, nil
 }
--- a/internal/scatter/selection.go
+++ b/internal/scatter/selection.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/wire"
 )
 
 // maxTrackedReplicas is the number of replicas of a shard that have a bit in the
@@ -32,20 +34,27 @@
 	return usable
 }
 
-// leastCoverageReachable reports whether the replicas that this host can reach now
-// suffice for the least coverage. If not, the query is refused before any part of
-// it runs, so that another host can run it.
-func (q *query) leastCoverageReachable() bool {
+// leastCoverageObstacle returns why the replicas that this host can use now do not
+// suffice for the least coverage, wire.ReasonNone if they do. Such a query is refused
+// before any part of it runs, so that another host can run it.
+func (q *query) leastCoverageObstacle() wire.Reason {
 	if q.engine.options.EstimateWait == nil {
-		return true
+		return wire.ReasonNone
 	}
 	var ledgers uint64
+	obstacle := wire.ReasonNoReplica
 	for i := range q.parts {
-		if slices.ContainsFunc(q.parts[i].shard.replicas, q.isReachable) {
+		switch {
+		case slices.ContainsFunc(q.parts[i].shard.replicas, q.isReachable):
 			ledgers += q.parts[i].needed.Len()
+		case q.unreachableReason(&q.parts[i]) == wire.ReasonRateLimited:
+			obstacle = wire.ReasonRateLimited
 		}
 	}
-	return ledgers > 0 && q.reachesLeastCoverage(ledgers)
+	if ledgers > 0 && q.reachesLeastCoverage(ledgers) {
+		return wire.ReasonNone
+	}
+	return obstacle
 }
 
 // selectReplica chooses a replica for an attempt of a part: of two random
