--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/pkg/errors"
 
 	"github.com/arbutusgauge/arbutusgauge/internal/lead"
@@ -376,6 +377,10 @@
 	c.servers.sourceLostAt = time.Time{}
 	if answer.Revision < c.revision {
 		// The source or another peer has already provided a later state.
+		c.options.Scope.Counter("relay_ignored").Inc(1)
+		c.options.Logger.WithFields(log.Fields{
+			"revision": answer.Revision, "known_revision": c.revision, "changes": len(answer.Changes), "full": answer.Full,
+		}).Info("older state of a peer ignored")
 		return
 	}
 	if answer.Full {
