Watch the store from a position of its era

Callers got 404 on routes, or the old service, more than 3 s after a change was confirmed.

Cause: a watch continued from a revision that the restored store had given out again, so that it never saw the changes before it. Class: a number is compared outside the history that it belongs to.

catalog.Position is an era and a revision. A watch whose answer names another era than its position fails with HistoryGoneError, as one from a revision that the store does not have, and the reader reads in full.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -84,54 +84,57 @@
 	return &table
 }
 
+// position returns the newest position. The caller holds mu.
+func (s *fakeSource) position() Position { return Position{Revision: s.revision} }
+
 func (s *fakeSource) countCall() error {
 	s.calls++
 	return s.err
 }
 
-func (s *fakeSource) Table(context.Context) (*routing.Table, uint64, error) {
+func (s *fakeSource) Table(context.Context) (*routing.Table, Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.readTable(), s.revision, s.countCall()
+	return s.readTable(), s.position(), s.countCall()
 }
 
-func (s *fakeSource) WatchTable(ctx context.Context, after uint64, wait time.Duration) (*routing.Table, uint64, error) {
+func (s *fakeSource) WatchTable(ctx context.Context, after Position, wait time.Duration) (*routing.Table, Position, error) {
 	end := time.Now().Add(wait)
 	for {
 		s.mu.Lock()
-		table, tableRev, revision, err := s.readTable(), s.tableRev, s.revision, s.err
+		table, tableRev, position, err := s.readTable(), s.tableRev, s.position(), s.err
 		s.mu.Unlock()
 		switch {
 		case err != nil:
-			return nil, 0, err
-		case tableRev > after:
-			return table, revision, nil
+			return nil, Position{}, err
+		case tableRev > after.Revision:
+			return table, position, nil
 		case !time.Now().Before(end):
-			return nil, revision, nil
+			return nil, position, nil
 		case ctx.Err() != nil:
-			return nil, 0, ctx.Err()
+			return nil, Position{}, ctx.Err()
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
 }
 
-func (s *fakeSource) Servers(context.Context) ([]Server, uint64, error) {
+func (s *fakeSource) Servers(context.Context) ([]Server, Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var list []Server
 	for _, server := range s.servers {
 		list = append(list, server)
 	}
-	return list, s.revision, s.countCall()
+	return list, s.position(), s.countCall()
 }
 
-func (s *fakeSource) WatchServers(ctx context.Context, after uint64, wait time.Duration) (ServerChanges, error) {
+func (s *fakeSource) WatchServers(ctx context.Context, after Position, wait time.Duration) (ServerChanges, error) {
 	end := time.Now().Add(wait)
 	for {
 		s.mu.Lock()
-		changes := ServerChanges{Revision: s.revision}
+		changes := ServerChanges{Position: s.position()}
 		for _, c := range s.log {
-			if c.revision > after {
+			if c.revision > after.Revision {
 				changes.Changes = append(changes.Changes, c.ServerChange)
 			}
 		}
--- a/internal/catalog/follow_source.go
+++ b/internal/catalog/follow_source.go
@@ -54,11 +54,11 @@
 func (c *Catalog) readInitialServers(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
 	defer cancel()
-	list, revision, err := c.options.Source.Servers(callCtx)
+	list, at, err := c.options.Source.Servers(callCtx)
 	if err != nil {
 		return err
 	}
-	c.setInitialServers(list, revision)
+	c.setInitialServers(list, at.Revision)
 	return nil
 }
 
@@ -133,27 +133,27 @@
 // newTableStep returns a step that reads the table the first time and then
 // watches it.
 func (c *Catalog) newTableStep() followStep {
-	var revision uint64
+	var at Position
 	return func(ctx context.Context) error {
-		if revision == 0 {
-			return c.readTable(ctx, &revision)
+		if at.Revision == 0 {
+			return c.readTable(ctx, &at)
 		}
 		callCtx, cancel := context.WithTimeout(ctx, c.options.TableWait+c.options.CallTimeout)
 		defer cancel()
-		table, next, err := c.options.Source.WatchTable(callCtx, revision, c.options.TableWait)
+		table, next, err := c.options.Source.WatchTable(callCtx, at, c.options.TableWait)
 		if err != nil {
-			return resetIfHistoryGone(err, &revision)
+			return resetIfHistoryGone(err, &at)
 		}
 		c.noteTableAnswer()
 		if table != nil {
 			c.SetTable(table, "watch")
 		}
-		revision = next
+		at = next
 		return nil
 	}
 }
 
-func (c *Catalog) readTable(ctx context.Context, revision *uint64) error {
+func (c *Catalog) readTable(ctx context.Context, at *Position) error {
 	callCtx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
 	defer cancel()
 	table, next, err := c.options.Source.Table(callCtx)
@@ -164,7 +164,7 @@
 	if table != nil {
 		c.SetTable(table, "read")
 	}
-	*revision = next
+	*at = next
 	return nil
 }
 
@@ -178,23 +178,23 @@
 // watches them. Options.ServersPace limits the calls and batches the changes
 // when many servers change.
 func (c *Catalog) newServersStep() followStep {
-	var revision uint64
+	var at Position
 	return func(ctx context.Context) error {
 		callCtx, cancel := context.WithTimeout(ctx, c.options.ServersWait+c.options.CallTimeout)
 		defer cancel()
-		if revision == 0 || c.hasChangesAfter(revision) {
+		if at.Revision == 0 || c.hasChangesAfter(at.Revision) {
 			list, next, err := c.options.Source.Servers(callCtx)
 			if err != nil {
 				return err
 			}
-			c.setServers(list, next)
-			revision = next
+			c.setServers(list, next.Revision)
+			at = next
 		} else {
-			changes, err := c.options.Source.WatchServers(callCtx, revision, c.options.ServersWait)
+			changes, err := c.options.Source.WatchServers(callCtx, at, c.options.ServersWait)
 			if err != nil {
-				return resetIfHistoryGone(err, &revision)
+				return resetIfHistoryGone(err, &at)
 			}
-			revision = changes.Revision
+			at = changes.Position
 			c.applyChanges(changes.Changes, changes.Revision)
 		}
 		sleep(ctx, c.options.ServersPace)
@@ -210,12 +210,12 @@
 	return c.revision > revision
 }
 
-// resetIfHistoryGone sets the revision to 0, which causes a full read, if err is
-// *HistoryGoneError. It returns err.
-func resetIfHistoryGone(err error, revision *uint64) error {
+// resetIfHistoryGone sets the position to the beginning, which causes a full read, if
+// err is *HistoryGoneError. It returns err.
+func resetIfHistoryGone(err error, at *Position) error {
 	var gone *HistoryGoneError
 	if errors.As(err, &gone) {
-		*revision = 0
+		*at = Position{}
 	}
 	return err
 }
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -33,12 +33,20 @@
 	return wire.ReplicaID(s.Addr + "/" + s.ID + "/" + strconv.FormatInt(s.Born, 10))
 }
 
-// ServerChanges are the changes of the servers since a revision, in order.
-type ServerChanges struct {
-	Changes  []ServerChange
+// Position is a point in the history of the source. A source that is restored from a
+// copy starts a new era, in which revisions go back and are given out again, so
+// revisions of different eras say nothing of each other.
+type Position struct {
+	Era      uint64 // rises with each restoration; 0: the source states none
 	Revision uint64
 }
 
+// ServerChanges are the changes of the servers since a position, in order.
+type ServerChanges struct {
+	Changes []ServerChange
+	Position
+}
+
 // ServerChange is one registration or one removal.
 type ServerChange struct {
 	ID string
@@ -53,19 +61,19 @@
 
 // Source is the store of the routing table, which operators write, and of the
 // server registrations. Its reads are linearizable. A watch fails with
-// *HistoryGoneError if the changes after its revision are no longer held. Each
-// method also returns the revision of its result.
+// *HistoryGoneError if the changes after its position are no longer held, as after a
+// restoration. Each method also returns the position of its result.
 type Source interface {
 	// Table returns the newest routing table, or nil if there is none yet.
-	Table(ctx context.Context) (*routing.Table, uint64, error)
-	// WatchTable waits up to wait for a table written after a revision; a nil
+	Table(ctx context.Context) (*routing.Table, Position, error)
+	// WatchTable waits up to wait for a table written after a position; a nil
 	// table means that there was none.
-	WatchTable(ctx context.Context, after uint64, wait time.Duration) (*routing.Table, uint64, error)
+	WatchTable(ctx context.Context, after Position, wait time.Duration) (*routing.Table, Position, error)
 	// Servers returns all servers.
-	Servers(ctx context.Context) ([]Server, uint64, error)
-	// WatchServers returns the changes after a revision. If there are none, it
+	Servers(ctx context.Context) ([]Server, Position, error)
+	// WatchServers returns the changes after a position. If there are none, it
 	// waits for them, up to wait.
-	WatchServers(ctx context.Context, after uint64, wait time.Duration) (ServerChanges, error)
+	WatchServers(ctx context.Context, after Position, wait time.Duration) (ServerChanges, error)
 }
 
 // Leadership decides which host reads the source for the others, and whom they
@@ -97,13 +105,15 @@
 	Learn(limits []ratelimit.Known) error
 }
 
-// HistoryGoneError reports that the source no longer holds the changes after a
-// revision. The watcher must read the full state again.
-type HistoryGoneError struct{ After uint64 }
+// HistoryGoneError reports that the source does not hold the changes after a position:
+// they are too old, or lost with a restoration. The watcher must read the full state
+// again.
+type HistoryGoneError struct{ After Position }
 
 // Error implements error.
 func (e *HistoryGoneError) Error() string {
-	return "changes since revision " + strconv.FormatUint(e.After, 10) + " are no longer held"
+	return "changes since revision " + strconv.FormatUint(e.After.Revision, 10) + " of era " +
+		strconv.FormatUint(e.After.Era, 10) + " are no longer held"
 }
 
 // OptionError reports an unset field of Options.
