Order the states of peers by era and revision

Callers were sent to draining servers, and hosts missed changes, after the store was restored: followers ignored the states of their leader, and each change in them was lost, because the position in the leader's log advanced.

Cause: hosts ordered states by revision, and in a restored store revisions are lower.

The catalog keeps a Position; states and changes of peers carry the era. A state without an era, from a host of an earlier version, is ordered by revision as before.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -34,8 +34,8 @@
 	share   Share
 	settled bool // see settleAfterStart
 	changes changeLog
-	// revision is the source revision up to which server changes are applied.
-	revision uint64
+	// position is the source position up to which server changes are applied.
+	position Position
 	// tableHeardAt and serversHeardAt are the times of Options.Clock at which
 	// the source last answered this host or a peer that this host polled.
 	tableHeardAt, serversHeardAt time.Duration
@@ -144,33 +144,33 @@
 }
 
 // setServers replaces the known servers by a full list that is valid at a
-// revision of the source.
-func (c *Catalog) setServers(list []Server, revision uint64) {
+// position of the source.
+func (c *Catalog) setServers(list []Server, at Position) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serversHeardAt = c.options.Clock()
 	c.servers.noteSourceAnswered(now)
-	c.setServersLocked(list, revision, now)
+	c.setServersLocked(list, at, now)
 }
 
 // setInitialServers is setServers for a starting host. The list is ignored if
 // later changes have been applied meanwhile.
-func (c *Catalog) setInitialServers(list []Server, revision uint64) {
+func (c *Catalog) setInitialServers(list []Server, at Position) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.revision > revision {
+	if at.isBefore(c.position) {
 		return
 	}
 	c.serversHeardAt = c.options.Clock()
-	c.setServersLocked(list, revision, now)
+	c.setServersLocked(list, at, now)
 }
 
 // setServersLocked replaces the known servers by a full list. The caller holds
 // mu.
-func (c *Catalog) setServersLocked(list []Server, revision uint64, now time.Time) {
-	c.revision = revision
+func (c *Catalog) setServersLocked(list []Server, at Position, now time.Time) {
+	c.position = at
 	if c.replaceServers(list, now) {
 		c.options.Logger.WithFields(log.Fields{"listed": len(list), "known": len(c.servers.known)}).Info("servers read in full")
 		c.rebuild()
@@ -188,14 +188,16 @@
 	return list
 }
 
-// applyChanges applies the server changes up to a revision of the source.
-func (c *Catalog) applyChanges(changes []ServerChange, revision uint64) {
+// applyChanges applies the server changes up to a position of the source.
+func (c *Catalog) applyChanges(changes []ServerChange, at Position) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serversHeardAt = c.options.Clock()
 	c.servers.noteSourceAnswered(now)
-	c.revision = max(c.revision, revision)
+	if c.position.isBefore(at) {
+		c.position = at
+	}
 	changed := false
 	for _, change := range changes {
 		changed = c.applyChange(change, now) || changed
@@ -213,7 +215,7 @@
 	now := time.Now()
 	gone := c.servers.expired(now)
 	for i := range gone {
-		c.dropServer(gone[i], 0, now, "server gone after the source's return")
+		c.dropServer(gone[i], Position{}, now, "server gone after the source's return")
 	}
 	if len(gone) > 0 {
 		c.rebuild()
@@ -228,7 +230,7 @@
 		if !known || c.servers.keepIfLapsed(change.ID, now) {
 			return false
 		}
-		c.dropServer(old, change.Revision, now, "server gone")
+		c.dropServer(old, change.position(), now, "server gone")
 		return true
 	}
 	if !c.servers.put(*change.Server) {
@@ -252,22 +254,22 @@
 	for i := range list {
 		present[list[i].ID] = true
 		if c.servers.put(list[i]) {
-			c.changes.add(ServerChange{ID: list[i].ID, Server: &list[i], Revision: c.revision})
+			c.changes.add(ServerChange{ID: list[i].ID, Server: &list[i], Revision: c.position.Revision, Era: c.position.Era})
 			changed = true
 		}
 	}
 	for id, server := range c.servers.known {
 		if !present[id] && !c.servers.keepIfLapsed(id, now) {
-			c.dropServer(server, c.revision, now, "server gone")
+			c.dropServer(server, c.position, now, "server gone")
 			changed = true
 		}
 	}
 	return changed
 }
 
-func (c *Catalog) dropServer(server Server, revision uint64, now time.Time, event string) {
+func (c *Catalog) dropServer(server Server, at Position, now time.Time, event string) {
 	c.servers.drop(server, now)
-	c.changes.add(ServerChange{ID: server.ID, Revision: revision})
+	c.changes.add(ServerChange{ID: server.ID, Revision: at.Revision, Era: at.Era})
 	c.logServer(event, &server)
 }
 
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -417,7 +417,7 @@
 	table := testTable(1)
 	table.Services = map[string]routing.Service{"a": {HealthPath: "/own"}, "b": {}}
 	c.SetTable(table, "test")
-	c.setServers([]Server{newServer("i-1", "a"), newServer("i-2", "b")}, 10)
+	c.setServers([]Server{newServer("i-1", "a"), newServer("i-2", "b")}, Position{Revision: 10})
 	g.Expect(c.HealthPath("i-1")).To(Equal("/own"))
 	g.Expect(c.HealthPath("i-2")).To(Equal(routing.DefaultHealthPath))
 }
--- a/internal/catalog/follow_source.go
+++ b/internal/catalog/follow_source.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return err
 	}
-	c.setInitialServers(list, at.Revision)
+	c.setInitialServers(list, at)
 	return nil
 }
 
@@ -182,12 +182,12 @@
 	return func(ctx context.Context) error {
 		callCtx, cancel := context.WithTimeout(ctx, c.options.ServersWait+c.options.CallTimeout)
 		defer cancel()
-		if at.Revision == 0 || c.hasChangesAfter(at.Revision) {
+		if at.Revision == 0 || c.hasChangesAfter(at) {
 			list, next, err := c.options.Source.Servers(callCtx)
 			if err != nil {
 				return err
 			}
-			c.setServers(list, next.Revision)
+			c.setServers(list, next)
 			at = next
 		} else {
 			changes, err := c.options.Source.WatchServers(callCtx, at, c.options.ServersWait)
@@ -195,19 +195,19 @@
 				return resetIfHistoryGone(err, &at)
 			}
 			at = changes.Position
-			c.applyChanges(changes.Changes, changes.Revision)
+			c.applyChanges(changes.Changes, changes.Position)
 		}
 		sleep(ctx, c.options.ServersPace)
 		return nil
 	}
 }
 
-// hasChangesAfter reports whether changes after a revision were already applied,
-// from a peer. A watch from that revision would apply them a second time.
-func (c *Catalog) hasChangesAfter(revision uint64) bool {
+// hasChangesAfter reports whether changes after a position were already applied,
+// from a peer. A watch from that position would apply them a second time.
+func (c *Catalog) hasChangesAfter(at Position) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.revision > revision
+	return at.isBefore(c.position)
 }
 
 // resetIfHistoryGone sets the position to the beginning, which causes a full read, if
--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -88,8 +88,9 @@
 	Age   time.Duration  `json:"age"`
 	Table *routing.Table `json:"table,omitempty"` // only if it is newer than the peer's
 	Fleet lead.Fleet     `json:"fleet"`
-	// Revision is the source revision up to which this host knows the servers.
+	// Revision is the source revision up to which this host knows the servers, in Era.
 	Revision uint64 `json:"revision"`
+	Era      uint64 `json:"era,omitempty"`
 	// Run and Newest are the position in the change log after this answer.
 	Run    int64  `json:"run"`
 	Newest uint64 `json:"next"`
@@ -192,7 +193,7 @@
 	if c.table == nil {
 		return nil
 	}
-	answer := &peerState{Age: c.sourceAge(), Revision: c.revision, Run: c.changes.run, Newest: c.changes.newest}
+	answer := &peerState{Age: c.sourceAge(), Revision: c.position.Revision, Era: c.position.Era, Run: c.changes.run, Newest: c.changes.newest}
 	if c.table.Version > p.version {
 		answer.Table = c.table
 	}
@@ -375,21 +376,23 @@
 	heardAt := began - answer.Age
 	c.tableHeardAt, c.serversHeardAt = max(c.tableHeardAt, heardAt), max(c.serversHeardAt, heardAt)
 	c.servers.sourceLostAt = time.Time{}
-	if answer.Revision < c.revision {
+	at := Position{Era: answer.Era, Revision: answer.Revision}
+	if at.isBefore(c.position) {
 		// The source or another peer has already provided a later state.
 		c.options.Scope.Counter("relay_ignored").Inc(1)
 		c.options.Logger.WithFields(log.Fields{
-			"revision": answer.Revision, "known_revision": c.revision, "changes": len(answer.Changes), "full": answer.Full,
+			"era": at.Era, "revision": at.Revision, "known_era": c.position.Era, "known_revision": c.position.Revision,
+			"changes": len(answer.Changes), "full": answer.Full,
 		}).Info("older state of a peer ignored")
 		return
 	}
 	if answer.Full {
-		c.setServersLocked(answer.Servers, answer.Revision, now)
+		c.setServersLocked(answer.Servers, at, now)
 		return
 	}
-	knownRevision := c.revision
-	c.revision = answer.Revision
-	c.applyPeerChanges(answer.Changes, knownRevision, now)
+	known := c.position
+	c.position = at
+	c.applyPeerChanges(answer.Changes, known, now)
 }
 
 func (c *Catalog) fetchState(ctx context.Context, client *http.Client, cursor peerCursor) (*peerState, error) {
@@ -427,14 +430,14 @@
 	return answer, nil
 }
 
-// applyPeerChanges applies the changes of a peer that are after a known revision,
+// applyPeerChanges applies the changes of a peer that are after a known position,
 // and those without a revision, which the peer derived itself. A removal is
 // applied even in the grace period for lapsed entries: the peer has waited for
 // its end. The caller holds mu.
-func (c *Catalog) applyPeerChanges(changes []ServerChange, knownRevision uint64, now time.Time) {
+func (c *Catalog) applyPeerChanges(changes []ServerChange, known Position, now time.Time) {
 	changed := false
 	for _, change := range changes {
-		if change.Revision != 0 && change.Revision <= knownRevision {
+		if change.Revision != 0 && !known.isBefore(change.position()) {
 			continue
 		}
 		if change.Server != nil {
@@ -442,7 +445,7 @@
 			continue
 		}
 		if old, ok := c.servers.known[change.ID]; ok {
-			c.dropServer(old, change.Revision, now, "server gone")
+			c.dropServer(old, change.position(), now, "server gone")
 			changed = true
 		}
 	}
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -41,6 +41,15 @@
 	Revision uint64
 }
 
+// isBefore reports whether a position is before another one. If one of them states no
+// era, because it comes from a host of an earlier version, the revisions decide.
+func (p Position) isBefore(other Position) bool {
+	if p.Era != other.Era && p.Era != 0 && other.Era != 0 {
+		return p.Era < other.Era
+	}
+	return p.Revision < other.Revision
+}
+
 // ServerChanges are the changes of the servers since a position, in order.
 type ServerChanges struct {
 	Changes []ServerChange
@@ -57,8 +66,11 @@
 	// change itself, such as the removal of a lapsed server that did not register
 	// again.
 	Revision uint64
+	Era      uint64 `json:",omitempty"` // of Revision
 }
 
+func (c *ServerChange) position() Position { return Position{Era: c.Era, Revision: c.Revision} }
+
 // Source is the store of the routing table, which operators write, and of the
 // server registrations. Its reads are linearizable. A watch fails with
 // *HistoryGoneError if the changes after its position are no longer held, as after a
