Keep servers whose entries a restored store has lost until they can register

Callers got 503 from hosts that had dropped living servers: after a restoration with a short outage, the entry of a server that registered since the copy is missing until the server writes it again, some 2 s later.

Cause: hosts inferred the loss of entries from the length of the outage, which says nothing of it when the store comes back from a copy. The era says it, so its rise begins the grace period for missing entries.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -170,6 +170,9 @@
 // setServersLocked replaces the known servers by a full list. The caller holds
 // mu.
 func (c *Catalog) setServersLocked(list []Server, at Position, now time.Time) {
+	if c.position.Era != 0 && at.Era > c.position.Era {
+		c.servers.noteSourceRestored(now)
+	}
 	c.position = at
 	if c.replaceServers(list, now) {
 		c.options.Logger.WithFields(log.Fields{"listed": len(list), "known": len(c.servers.known)}).Info("servers read in full")
--- a/internal/catalog/servers.go
+++ b/internal/catalog/servers.go
@@ -22,8 +22,8 @@
 	// of the source, the time at which they are dropped.
 	dropLapsedAt map[string]time.Time
 	sourceLostAt time.Time // start of the outage; zero while the source answers
-	// graceUntil is the end of the period after an outage in which a missing
-	// entry may have lapsed although its server is alive.
+	// graceUntil is the end of the period after an outage or a restoration in which a
+	// missing entry may have lapsed, or be lost, although its server is alive.
 	graceUntil time.Time
 }
 
@@ -57,6 +57,10 @@
 	s.sourceLostAt = time.Time{}
 }
 
+// noteSourceRestored begins the grace period after a restoration of the source, which
+// has lost the newest entries however short its outage was.
+func (s *serverTable) noteSourceRestored(now time.Time) { s.graceUntil = now.Add(reregisterGrace) }
+
 // put stores a registration and reports whether anything but the sequence
 // changed. Registrations that are older than the known one are ignored: they can
 // arrive late, and must not revert a server to not draining.
