Tie leases and seats to the era of the store

Two hosts could keep one seat, and one could end the lease of the other, after the store was restored: followers of the wrong one get older states, and two hosts grant permits for the same replicas.

Cause: the number of a lease, and the revision of a seat's entry, are given out again by a restored store, and hosts compared them without their era. Same class as the watch and the states of peers.

A seat is ordered by history.Position, which the catalog uses too.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/arbutusgauge/arbutusgauge/internal/history"
 	"github.com/arbutusgauge/arbutusgauge/internal/release"
 	"github.com/arbutusgauge/arbutusgauge/internal/routing"
 )
@@ -35,7 +36,7 @@
 	settled bool // see settleAfterStart
 	changes changeLog
 	// position is the source position up to which server changes are applied.
-	position Position
+	position history.Position
 	// tableHeardAt and serversHeardAt are the times of Options.Clock at which
 	// the source last answered this host or a peer that this host polled.
 	tableHeardAt, serversHeardAt time.Duration
@@ -145,7 +146,7 @@
 
 // setServers replaces the known servers by a full list that is valid at a
 // position of the source.
-func (c *Catalog) setServers(list []Server, at Position) {
+func (c *Catalog) setServers(list []Server, at history.Position) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -156,11 +157,11 @@
 
 // setInitialServers is setServers for a starting host. The list is ignored if
 // later changes have been applied meanwhile.
-func (c *Catalog) setInitialServers(list []Server, at Position) {
+func (c *Catalog) setInitialServers(list []Server, at history.Position) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if at.isBefore(c.position) {
+	if at.IsBefore(c.position) {
 		return
 	}
 	c.serversHeardAt = c.options.Clock()
@@ -169,7 +170,7 @@
 
 // setServersLocked replaces the known servers by a full list. The caller holds
 // mu.
-func (c *Catalog) setServersLocked(list []Server, at Position, now time.Time) {
+func (c *Catalog) setServersLocked(list []Server, at history.Position, now time.Time) {
 	if c.position.Era != 0 && at.Era > c.position.Era {
 		c.servers.noteSourceRestored(now)
 	}
@@ -192,13 +193,13 @@
 }
 
 // applyChanges applies the server changes up to a position of the source.
-func (c *Catalog) applyChanges(changes []ServerChange, at Position) {
+func (c *Catalog) applyChanges(changes []ServerChange, at history.Position) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serversHeardAt = c.options.Clock()
 	c.servers.noteSourceAnswered(now)
-	if c.position.isBefore(at) {
+	if c.position.IsBefore(at) {
 		c.position = at
 	}
 	changed := false
@@ -218,7 +219,7 @@
 	now := time.Now()
 	gone := c.servers.expired(now)
 	for i := range gone {
-		c.dropServer(gone[i], Position{}, now, "server gone after the source's return")
+		c.dropServer(gone[i], history.Position{}, now, "server gone after the source's return")
 	}
 	if len(gone) > 0 {
 		c.rebuild()
@@ -270,7 +271,7 @@
 	return changed
 }
 
-func (c *Catalog) dropServer(server Server, at Position, now time.Time, event string) {
+func (c *Catalog) dropServer(server Server, at history.Position, now time.Time, event string) {
 	c.servers.drop(server, now)
 	c.changes.add(ServerChange{ID: server.ID, Revision: at.Revision, Era: at.Era})
 	c.logServer(event, &server)
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/arbutusgauge/arbutusgauge/internal/fixedseed"
+	"github.com/arbutusgauge/arbutusgauge/internal/history"
 	"github.com/arbutusgauge/arbutusgauge/internal/routing"
 	"github.com/arbutusgauge/arbutusgauge/internal/wire"
 )
@@ -85,20 +86,20 @@
 }
 
 // position returns the newest position. The caller holds mu.
-func (s *fakeSource) position() Position { return Position{Revision: s.revision} }
+func (s *fakeSource) position() history.Position { return history.Position{Revision: s.revision} }
 
 func (s *fakeSource) countCall() error {
 	s.calls++
 	return s.err
 }
 
-func (s *fakeSource) Table(context.Context) (*routing.Table, Position, error) {
+func (s *fakeSource) Table(context.Context) (*routing.Table, history.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.readTable(), s.position(), s.countCall()
 }
 
-func (s *fakeSource) WatchTable(ctx context.Context, after Position, wait time.Duration) (*routing.Table, Position, error) {
+func (s *fakeSource) WatchTable(ctx context.Context, after history.Position, wait time.Duration) (*routing.Table, history.Position, error) {
 	end := time.Now().Add(wait)
 	for {
 		s.mu.Lock()
@@ -106,19 +107,19 @@
 		s.mu.Unlock()
 		switch {
 		case err != nil:
-			return nil, Position{}, err
+			return nil, history.Position{}, err
 		case tableRev > after.Revision:
 			return table, position, nil
 		case !time.Now().Before(end):
 			return nil, position, nil
 		case ctx.Err() != nil:
-			return nil, Position{}, ctx.Err()
+			return nil, history.Position{}, ctx.Err()
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
 }
 
-func (s *fakeSource) Servers(context.Context) ([]Server, Position, error) {
+func (s *fakeSource) Servers(context.Context) ([]Server, history.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var list []Server
@@ -128,7 +129,7 @@
 	return list, s.position(), s.countCall()
 }
 
-func (s *fakeSource) WatchServers(ctx context.Context, after Position, wait time.Duration) (ServerChanges, error) {
+func (s *fakeSource) WatchServers(ctx context.Context, after history.Position, wait time.Duration) (ServerChanges, error) {
 	end := time.Now().Add(wait)
 	for {
 		s.mu.Lock()
@@ -417,7 +418,7 @@
 	table := testTable(1)
 	table.Services = map[string]routing.Service{"a": {HealthPath: "/own"}, "b": {}}
 	c.SetTable(table, "test")
-	c.setServers([]Server{newServer("i-1", "a"), newServer("i-2", "b")}, Position{Revision: 10})
+	c.setServers([]Server{newServer("i-1", "a"), newServer("i-2", "b")}, history.Position{Revision: 10})
 	g.Expect(c.HealthPath("i-1")).To(Equal("/own"))
 	g.Expect(c.HealthPath("i-2")).To(Equal(routing.DefaultHealthPath))
 }
--- a/internal/catalog/follow_source.go
+++ b/internal/catalog/follow_source.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/history"
 )
 
 // Run keeps the catalog up to date, from the source if this host leads, else
@@ -133,7 +135,7 @@
 // newTableStep returns a step that reads the table the first time and then
 // watches it.
 func (c *Catalog) newTableStep() followStep {
-	var at Position
+	var at history.Position
 	return func(ctx context.Context) error {
 		if at.Revision == 0 {
 			return c.readTable(ctx, &at)
@@ -153,7 +155,7 @@
 	}
 }
 
-func (c *Catalog) readTable(ctx context.Context, at *Position) error {
+func (c *Catalog) readTable(ctx context.Context, at *history.Position) error {
 	callCtx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
 	defer cancel()
 	table, next, err := c.options.Source.Table(callCtx)
@@ -178,7 +180,7 @@
 // watches them. Options.ServersPace limits the calls and batches the changes
 // when many servers change.
 func (c *Catalog) newServersStep() followStep {
-	var at Position
+	var at history.Position
 	return func(ctx context.Context) error {
 		callCtx, cancel := context.WithTimeout(ctx, c.options.ServersWait+c.options.CallTimeout)
 		defer cancel()
@@ -204,18 +206,18 @@
 
 // hasChangesAfter reports whether changes after a position were already applied,
 // from a peer. A watch from that position would apply them a second time.
-func (c *Catalog) hasChangesAfter(at Position) bool {
+func (c *Catalog) hasChangesAfter(at history.Position) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return at.isBefore(c.position)
+	return at.IsBefore(c.position)
 }
 
 // resetIfHistoryGone sets the position to the beginning, which causes a full read, if
 // err is *HistoryGoneError. It returns err.
-func resetIfHistoryGone(err error, at *Position) error {
+func resetIfHistoryGone(err error, at *history.Position) error {
 	var gone *HistoryGoneError
 	if errors.As(err, &gone) {
-		*at = Position{}
+		*at = history.Position{}
 	}
 	return err
 }
--- a/internal/catalog/malformed_test.go
+++ b/internal/catalog/malformed_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/arbutusgauge/arbutusgauge/internal/backend"
+	"github.com/arbutusgauge/arbutusgauge/internal/history"
 	"github.com/arbutusgauge/arbutusgauge/internal/lead"
 	"github.com/arbutusgauge/arbutusgauge/internal/owner"
 	"github.com/arbutusgauge/arbutusgauge/internal/readlimit"
@@ -33,11 +34,13 @@
 func (unreachable) Owns(string, uint32, wire.ReplicaID) bool         { return true }
 func (unreachable) Seats(context.Context, bool) ([]lead.Seat, error) { return nil, unreachableError{} }
 
-func (unreachable) Take(context.Context, lead.Seat, uint64) (uint64, error) {
-	return 0, unreachableError{}
+func (unreachable) Take(context.Context, lead.Seat, history.Position) (history.Position, error) {
+	return history.Position{}, unreachableError{}
 }
 
-func (unreachable) Update(context.Context, lead.Seat) (uint64, error) { return 0, unreachableError{} }
+func (unreachable) Update(context.Context, lead.Seat) (history.Position, error) {
+	return history.Position{}, unreachableError{}
+}
 
 func (unreachable) Renew(context.Context) (bool, error) { return false, unreachableError{} }
 func (unreachable) Leave(context.Context) error         { return nil }
--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 
+	"github.com/arbutusgauge/arbutusgauge/internal/history"
 	"github.com/arbutusgauge/arbutusgauge/internal/lead"
 	"github.com/arbutusgauge/arbutusgauge/internal/ratelimit"
 	"github.com/arbutusgauge/arbutusgauge/internal/readlimit"
@@ -376,8 +377,8 @@
 	heardAt := began - answer.Age
 	c.tableHeardAt, c.serversHeardAt = max(c.tableHeardAt, heardAt), max(c.serversHeardAt, heardAt)
 	c.servers.sourceLostAt = time.Time{}
-	at := Position{Era: answer.Era, Revision: answer.Revision}
-	if at.isBefore(c.position) {
+	at := history.Position{Era: answer.Era, Revision: answer.Revision}
+	if at.IsBefore(c.position) {
 		// The source or another peer has already provided a later state.
 		c.options.Scope.Counter("relay_ignored").Inc(1)
 		c.options.Logger.WithFields(log.Fields{
@@ -434,10 +435,10 @@
 // and those without a revision, which the peer derived itself. A removal is
 // applied even in the grace period for lapsed entries: the peer has waited for
 // its end. The caller holds mu.
-func (c *Catalog) applyPeerChanges(changes []ServerChange, known Position, now time.Time) {
+func (c *Catalog) applyPeerChanges(changes []ServerChange, known history.Position, now time.Time) {
 	changed := false
 	for _, change := range changes {
-		if change.Revision != 0 && !known.isBefore(change.position()) {
+		if change.Revision != 0 && !known.IsBefore(change.position()) {
 			continue
 		}
 		if change.Server != nil {
--- a/internal/catalog/relay_test.go
+++ b/internal/catalog/relay_test.go
@@ -12,6 +12,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/arbutusgauge/arbutusgauge/internal/history"
 	"github.com/arbutusgauge/arbutusgauge/internal/lead"
 	"github.com/arbutusgauge/arbutusgauge/internal/wire"
 )
@@ -151,7 +152,7 @@
 	for i := range 3 * maxKeptChanges {
 		s := newServer("i-1", "a")
 		s.Sequence, s.Draining = uint64(i+1), i%2 == 0
-		c.applyChanges([]ServerChange{{ID: "i-1", Server: &s, Revision: uint64(i + 1)}}, Position{Revision: uint64(i+1)})
+		c.applyChanges([]ServerChange{{ID: "i-1", Server: &s, Revision: uint64(i + 1)}}, history.Position{Revision: uint64(i + 1)})
 	}
 	run, newest := c.changes.run, c.changes.newest
 	g.Expect(c.stateSince(peerCursor{run: run, newest: newest}).Changes).To(BeEmpty())
@@ -218,13 +219,13 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	c.SetTable(testTable(1), "test")
 	left, stays := newServer("i-1", "a"), newServer("i-2", "b")
-	c.setServers([]Server{left, stays}, Position{Revision: 10})
-	c.applyChanges([]ServerChange{{ID: "i-1", Revision: 11}}, Position{Revision: 11})
+	c.setServers([]Server{left, stays}, history.Position{Revision: 10})
+	c.applyChanges([]ServerChange{{ID: "i-1", Revision: 11}}, history.Position{Revision: 11})
 	c.applyPeerState(&peerState{Revision: 9, Full: true, Servers: []Server{left}}, 0)
 	g.Expect(replicaIDs(c)).To(ConsistOf(stays.ReplicaID()))
 	again := left
 	again.Born = 2
-	c.applyChanges([]ServerChange{{ID: "i-1", Server: &again, Revision: 12}}, Position{Revision: 12})
+	c.applyChanges([]ServerChange{{ID: "i-1", Server: &again, Revision: 12}}, history.Position{Revision: 12})
 	// The peer reports a removal that this host knows already, and a new one.
 	c.applyPeerState(&peerState{Revision: 13, Changes: []ServerChange{{ID: "i-1", Revision: 11}, {ID: "i-2", Revision: 13}}}, 0)
 	g.Expect(replicaIDs(c)).To(ConsistOf(again.ReplicaID()))
@@ -243,7 +244,7 @@
 	c.SetTable(testTable(1), "test")
 	g.Expect(c.isFresh()).To(BeFalse(), "the source has not answered yet")
 	c.noteTableAnswer()
-	c.setServers(nil, Position{Revision: 1})
+	c.setServers(nil, history.Position{Revision: 1})
 	g.Expect(c.isFresh()).To(BeTrue())
 	clock.Add(int64(5 * time.Second)) // Go's monotonic clock stops during a suspension
 	g.Expect(c.isFresh()).To(BeFalse())
@@ -285,7 +286,7 @@
 			behind, err := New(Options{Source: newSource()})
 			g.Expect(err).NotTo(HaveOccurred())
 			behind.SetTable(testTable(1), "test")
-			behind.setServers([]Server{left, stays}, Position{Revision: 10})
+			behind.setServers([]Server{left, stays}, history.Position{Revision: 10})
 			behind.mu.Lock()
 			behind.tableHeardAt -= time.Minute
 			behind.mu.Unlock()
@@ -293,7 +294,7 @@
 			g.Expect(err).NotTo(HaveOccurred())
 			fresh.SetTable(testTable(2), "test")
 			fresh.noteTableAnswer()
-			fresh.setServers([]Server{stays}, Position{Revision: 20})
+			fresh.setServers([]Server{stays}, history.Position{Revision: 20})
 			seeds := []string{serveCatalog(t, behind), "127.0.0.1:1"}
 			if freshSeed {
 				seeds = append(seeds, serveCatalog(t, fresh))
@@ -320,7 +321,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	c.SetTable(testTable(1), "test")
 	left, stays := newServer("i-1", "a"), newServer("i-2", "b")
-	c.setServers([]Server{left, stays}, Position{Era: 1, Revision: 60})
+	c.setServers([]Server{left, stays}, history.Position{Era: 1, Revision: 60})
 	c.applyPeerState(&peerState{Era: 2, Revision: 19, Changes: []ServerChange{{ID: "i-1", Revision: 19, Era: 2}}}, 0)
 	g.Expect(replicaIDs(c)).To(ConsistOf(stays.ReplicaID()))
 	// The state of a host that has not seen the restoration yet is older.
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/arbutusgauge/arbutusgauge/internal/history"
 	"github.com/arbutusgauge/arbutusgauge/internal/lead"
 	"github.com/arbutusgauge/arbutusgauge/internal/ratelimit"
 	"github.com/arbutusgauge/arbutusgauge/internal/routing"
@@ -33,27 +34,10 @@
 	return wire.ReplicaID(s.Addr + "/" + s.ID + "/" + strconv.FormatInt(s.Born, 10))
 }
 
-// Position is a point in the history of the source. A source that is restored from a
-// copy starts a new era, in which revisions go back and are given out again, so
-// revisions of different eras say nothing of each other.
-type Position struct {
-	Era      uint64 // rises with each restoration; 0: the source states none
-	Revision uint64
-}
-
-// isBefore reports whether a position is before another one. If one of them states no
-// era, because it comes from a host of an earlier version, the revisions decide.
-func (p Position) isBefore(other Position) bool {
-	if p.Era != other.Era && p.Era != 0 && other.Era != 0 {
-		return p.Era < other.Era
-	}
-	return p.Revision < other.Revision
-}
-
 // ServerChanges are the changes of the servers since a position, in order.
 type ServerChanges struct {
 	Changes []ServerChange
-	Position
+	history.Position
 }
 
 // ServerChange is one registration or one removal.
@@ -69,7 +53,9 @@
 	Era      uint64 `json:",omitempty"` // of Revision
 }
 
-func (c *ServerChange) position() Position { return Position{Era: c.Era, Revision: c.Revision} }
+func (c *ServerChange) position() history.Position {
+	return history.Position{Era: c.Era, Revision: c.Revision}
+}
 
 // Source is the store of the routing table, which operators write, and of the
 // server registrations. Its reads are linearizable. A watch fails with
@@ -77,15 +63,15 @@
 // restoration. Each method also returns the position of its result.
 type Source interface {
 	// Table returns the newest routing table, or nil if there is none yet.
-	Table(ctx context.Context) (*routing.Table, Position, error)
+	Table(ctx context.Context) (*routing.Table, history.Position, error)
 	// WatchTable waits up to wait for a table written after a position; a nil
 	// table means that there was none.
-	WatchTable(ctx context.Context, after Position, wait time.Duration) (*routing.Table, Position, error)
+	WatchTable(ctx context.Context, after history.Position, wait time.Duration) (*routing.Table, history.Position, error)
 	// Servers returns all servers.
-	Servers(ctx context.Context) ([]Server, Position, error)
+	Servers(ctx context.Context) ([]Server, history.Position, error)
 	// WatchServers returns the changes after a position. If there are none, it
 	// waits for them, up to wait.
-	WatchServers(ctx context.Context, after Position, wait time.Duration) (ServerChanges, error)
+	WatchServers(ctx context.Context, after history.Position, wait time.Duration) (ServerChanges, error)
 }
 
 // Leadership decides which host reads the source for the others, and whom they
@@ -120,7 +106,7 @@
 // HistoryGoneError reports that the source does not hold the changes after a position:
 // they are too old, or lost with a restoration. The watcher must read the full state
 // again.
-type HistoryGoneError struct{ After Position }
+type HistoryGoneError struct{ After history.Position }
 
 // Error implements error.
 func (e *HistoryGoneError) Error() string {
--- a/internal/lead/agent.go
+++ b/internal/lead/agent.go
@@ -193,7 +193,7 @@
 			continue
 		}
 		if a.ownSeat != nil && a.isOwnSeat(seat) {
-			if seat.Revision > a.ownSeat.Revision && seat.Name != a.options.Host.Name {
+			if a.ownSeat.IsBefore(seat.Position) && seat.Name != a.options.Host.Name {
 				a.options.Logger.WithFields(log.Fields{"seat": a.ownSeat.Number, "holder": seat.Name}).Info("seat lost to another host")
 				a.ownSeat = nil
 			} else {
@@ -399,7 +399,7 @@
 		return false
 	}
 	holder := Fleet{Seats: seats}.seat(a.options.Host.DataCentre, number)
-	return a.takeSeat(callCtx, number, holder.Revision)
+	return a.takeSeat(callCtx, number, holder.Position)
 }
 
 // chooseSeat returns the number of the seat that this host should take; 0: none.
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/history"
 )
 
 type unavailableError struct{}
@@ -66,21 +68,22 @@
 	return seats, err
 }
 
-func (r *fakeRegistry) Take(_ context.Context, seat Seat, revision uint64) (next uint64, err error) {
+func (r *fakeRegistry) Take(_ context.Context, seat Seat, replaced history.Position) (at history.Position, err error) {
 	err = r.call(func(s *fakeStore) error {
-		if s.seats[seatKey(seat)].seat.Revision != revision {
+		if s.seats[seatKey(seat)].seat.Revision != replaced.Revision {
 			return &TakenError{Seat: seat.Number}
 		}
 		s.revision++
-		seat.Revision, next = s.revision, s.revision
+		at = history.Position{Revision: s.revision}
+		seat.Position = at
 		s.seats[seatKey(seat)] = seatEntry{seat: seat, leaseEnd: time.Now().Add(LeaseDuration)}
 		return nil
 	})
-	return next, err
+	return at, err
 }
 
-func (r *fakeRegistry) Update(ctx context.Context, seat Seat) (uint64, error) {
-	return r.Take(ctx, seat, seat.Revision)
+func (r *fakeRegistry) Update(ctx context.Context, seat Seat) (history.Position, error) {
+	return r.Take(ctx, seat, seat.Position)
 }
 
 func (r *fakeRegistry) Renew(context.Context) (alive bool, err error) {
@@ -404,7 +407,7 @@
 }
 
 func (r *seatLosingRegistry) reportOtherHolder() {
-	seat := Seat{Host: Host{Name: "other", DataCentre: "badin", PeerAddr: "other"}, Number: 1, Revision: 1 << 40}
+	seat := Seat{Host: Host{Name: "other", DataCentre: "badin", PeerAddr: "other"}, Number: 1, Position: history.Position{Revision: 1 << 40}}
 	r.agent.AdoptFleet(Fleet{Seats: []Seat{seat}})
 }
 
@@ -413,9 +416,9 @@
 	return false, nil
 }
 
-func (r *seatLosingRegistry) Update(context.Context, Seat) (uint64, error) {
+func (r *seatLosingRegistry) Update(context.Context, Seat) (history.Position, error) {
 	r.reportOtherHolder()
-	return 0, &TakenError{Seat: 1}
+	return history.Position{}, &TakenError{Seat: 1}
 }
 
 // Guards against a panic of the agent when its seat is lost during the call that
@@ -430,7 +433,7 @@
 		g.Expect(err).NotTo(HaveOccurred())
 		r.agent = agent
 		for _, call := range []func(context.Context){agent.renewLease, agent.updateEntry} {
-			g.Expect(agent.takeSeat(t.Context(), 1, r.store.revision)).To(BeTrue())
+			g.Expect(agent.takeSeat(t.Context(), 1, history.Position{Revision: r.store.revision})).To(BeTrue())
 			call(t.Context())
 			g.Expect(agent.Leads()).To(BeFalse())
 		}
@@ -498,3 +501,22 @@
 		})
 	}
 }
+
+// Guards against a host that keeps its seat beside another one after the store was
+// restored: the entry of the new holder has a lower revision, in a later era.
+func TestSeatOfALaterEraIsLost(t *testing.T) {
+	g := NewWithT(t)
+	agent, err := New(Options{
+		Registry: &fakeRegistry{store: &fakeStore{seats: map[string]seatEntry{}}, host: "h1"},
+		Host:     Host{Name: "h1", DataCentre: "badin", PeerAddr: "h1", Cores: 1}, OnFleet: func(Fleet) {},
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	agent.ownSeat = &Seat{Host: agent.options.Host, Number: 1, Position: history.Position{Era: 1, Revision: 60}, Hosts: 1}
+	seat := Seat{Host: Host{Name: "other", DataCentre: "badin", PeerAddr: "other"}, Number: 1}
+	seat.Position = history.Position{Era: 1, Revision: 50}
+	agent.AdoptFleet(Fleet{Seats: []Seat{seat}})
+	g.Expect(agent.Leads()).To(BeTrue(), "an earlier holder")
+	seat.Position = history.Position{Era: 2, Revision: 20}
+	agent.AdoptFleet(Fleet{Seats: []Seat{seat}})
+	g.Expect(agent.Leads()).To(BeFalse())
+}
--- a/internal/lead/seat.go
+++ b/internal/lead/seat.go
@@ -6,13 +6,15 @@
 
 	"github.com/apex/log"
 	"github.com/pkg/errors"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/history"
 )
 
-// takeSeat takes the seat whose entry has the given revision, and reports whether
+// takeSeat takes the seat whose entry has the given position, and reports whether
 // it did. A seat that this host held before becomes vacant when its lease ends.
-func (a *Agent) takeSeat(ctx context.Context, number int, revision uint64) bool {
+func (a *Agent) takeSeat(ctx context.Context, number int, replaced history.Position) bool {
 	seat := Seat{Host: a.options.Host, Number: number, Hosts: 1, LeastCores: a.options.Host.Cores}
-	next, err := a.options.Registry.Take(ctx, seat, revision)
+	next, err := a.options.Registry.Take(ctx, seat, replaced)
 	var taken *TakenError
 	if errors.As(err, &taken) {
 		// The next probe finds the new holder.
@@ -24,13 +26,13 @@
 	if a.noteResult(ctx, err) {
 		return false
 	}
-	seat.Revision = next
+	seat.Position = next
 	a.mu.Lock()
 	a.ownSeat, a.leaderlessSince = &seat, time.Time{}
 	a.setFleet(a.fleet)
 	leads := a.leads()
 	a.mu.Unlock()
-	a.options.Logger.WithFields(log.Fields{"seat": number, "leads": leads, "replaced_revision": revision}).Info("seat taken")
+	a.options.Logger.WithFields(log.Fields{"seat": number, "leads": leads, "replaced_revision": replaced.Revision}).Info("seat taken")
 	return true
 }
 
@@ -104,7 +106,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	revision, err := a.options.Registry.Update(callCtx, seat)
+	at, err := a.options.Registry.Update(callCtx, seat)
 	var taken *TakenError
 	switch {
 	case errors.As(err, &taken):
@@ -114,7 +116,7 @@
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		if a.ownSeat != nil {
-			a.ownSeat.Revision = revision
+			a.ownSeat.Position = at
 			a.setFleet(a.fleet)
 		}
 	}
--- a/internal/lead/types.go
+++ b/internal/lead/types.go
@@ -19,6 +19,8 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/history"
 )
 
 // LeaseDuration is the time after the last renewal at which a seat becomes vacant.
@@ -36,9 +38,9 @@
 type Seat struct {
 	Host
 	Number int `json:"number"` // from 1, within its data centre
-	// Revision is the store revision of the seat's entry; it tells successive
-	// holders apart.
-	Revision uint64 `json:"revision"`
+	// Position is that of the seat's entry in the store's history; it tells
+	// successive holders apart.
+	history.Position
 	// Hosts is the number of hosts that follow the holder. It includes the holder
 	// if the holder leads.
 	Hosts int `json:"hosts"`
@@ -99,14 +101,16 @@
 	// be some seconds old.
 	Seats(ctx context.Context, stale bool) ([]Seat, error)
 	// Take takes a seat under a new lease of LeaseDuration if the entry of the seat
-	// still has the given revision (0: no entry), and returns its new revision.
-	// *TakenError means that another host has taken the seat meanwhile.
-	Take(ctx context.Context, seat Seat, revision uint64) (uint64, error)
+	// still has the given position (revision 0: no entry), and returns its new
+	// position. *TakenError means that another host has taken the seat meanwhile, or
+	// that the store was restored.
+	Take(ctx context.Context, seat Seat, replaced history.Position) (history.Position, error)
 	// Update rewrites the entry of the held seat under its lease if the entry
-	// still has the revision of seat. It returns the new revision, or
+	// still has the position of seat. It returns the new position, or
 	// *TakenError as Take does.
-	Update(ctx context.Context, seat Seat) (uint64, error)
-	// Renew renews the lease; false means that the lease has ended.
+	Update(ctx context.Context, seat Seat) (history.Position, error)
+	// Renew renews the lease; false means that the lease has ended. A lease of before
+	// a restoration counts as ended, because its number may be another host's.
 	Renew(ctx context.Context) (bool, error)
 	// Leave ends the lease, which vacates the seat.
 	Leave(ctx context.Context) error
