Probe silent data centres

Cause: a data centre that counts as silent gets no new work, and only an answer or a new connection ends that. With idle connections left, or none kept without work, nothing was sent or opened, and the state lasted until a connection was opened by chance ("data centre heard again" in the log of front-2 came with the re-registration of a server).

Two replicas of a silent data centre are probed every 0.5 s: by a status call on an idle connection, or by opening one.

Evidence: TestSilentDataCentreIsProbed fails on the code before, for idle connections and for none.

--- a/internal/owner/datacentre.go
+++ b/internal/owner/datacentre.go
@@ -20,6 +20,10 @@
 	// dataCentreCheckPeriod is the time between two checks for silent data
 	// centres.
 	dataCentreCheckPeriod = 100 * time.Millisecond
+	// silentProbePeriod is the time between two rounds of probes of a silent data
+	// centre, and silentProbes the number of replicas that a round probes.
+	silentProbePeriod = 500 * time.Millisecond
+	silentProbes      = 2
 )
 
 // dataCentre tracks whether the replicas of one data centre respond to this
@@ -29,6 +33,7 @@
 	lastHeardNanos    atomic.Int64 // Unix time in ns of the last answer or new connection
 	waitingSinceNanos atomic.Int64 // Unix time in ns of the first sub-request sent since lastHeardNanos; 0 means none
 	silent            atomic.Bool
+	nextProbeAt       time.Time // of a silent data centre; used by Owner.Run only
 }
 
 // dataCentreRegistry holds the data centres of all replicas configured so far.
@@ -89,12 +94,17 @@
 // does not wait for each of them in turn.
 func (o *Owner) detectSilentDataCentres(now time.Time) {
 	for _, dc := range o.dataCentres.all() {
+		if dc.silent.Load() {
+			o.probeSilentDataCentre(dc, now)
+			continue
+		}
 		since := dc.waitingSinceNanos.Load()
-		if since == 0 || now.UnixNano()-since < int64(dataCentreSilenceTimeout) || dc.silent.Load() {
+		if since == 0 || now.UnixNano()-since < int64(dataCentreSilenceTimeout) {
 			continue
 		}
 		if overdue := o.countOverdueReplicas(dc, now); overdue >= minOverdueReplicas {
 			dc.silent.Store(true)
+			dc.nextProbeAt = now.Add(silentProbePeriod)
 			o.options.Logger.WithFields(log.Fields{
 				"data_centre": dc.name, "overdue_replicas": overdue, "waiting": time.Duration(now.UnixNano() - since),
 			}).Warn("data centre silent")
@@ -102,6 +112,23 @@
 	}
 }
 
+// probeSilentDataCentre probes some replicas of a silent data centre. It gets no new
+// work, so that without probes nothing would show that it answers again.
+func (o *Owner) probeSilentDataCentre(dc *dataCentre, now time.Time) {
+	if now.Before(dc.nextProbeAt) {
+		return
+	}
+	dc.nextProbeAt = now.Add(silentProbePeriod)
+	probes := 0
+	for _, r := range o.table.Load().replicas { // in random order
+		if r.dataCentre == dc && r.probeReachability(now) {
+			if probes++; probes == silentProbes {
+				return
+			}
+		}
+	}
+}
+
 // countOverdueReplicas counts the replicas of a data centre that have an overdue
 // sub-request.
 func (o *Owner) countOverdueReplicas(dc *dataCentre, now time.Time) int {
--- a/internal/owner/direct_test.go
+++ b/internal/owner/direct_test.go
@@ -242,3 +242,34 @@
 		g.Expect(far.openConns()).To(BeZero())
 	})
 }
+
+// Guards against a data centre that counts as silent for ever. It gets no new work, so
+// only a connection that is opened or checked for this purpose shows that it answers
+// again: the connections left over are idle, or there are none without work.
+func TestSilentDataCentreIsProbed(t *testing.T) {
+	for name, onDemand := range map[string]bool{"idle connections left": false, "no connections without work": true} {
+		t.Run(name, func(t *testing.T) {
+			cfg := threeDataCentreConfig()
+			cfg.Services["mill-dispatch"].LocalWarmConnectionsOnly = onDemand
+			testDirectOwner(t, cfg, func(g *WithT, h *harness) {
+				for _, id := range tandoReplicas {
+					h.send(id, time.Second, 2) // opens two connections
+				}
+				time.Sleep(50 * time.Millisecond)
+				for _, id := range tandoReplicas {
+					h.dialer.server(id).set(func(s *fakeServer) { s.serviceTime = time.Hour })
+					h.send(id, 600*time.Millisecond, 1)
+				}
+				time.Sleep(dataCentreSilenceTimeout + 2*dataCentreCheckPeriod)
+				g.Expect(h.owner.Usable(tandoReplicas[0])).To(BeFalse())
+				for _, id := range tandoReplicas {
+					h.dialer.server(id).set(func(s *fakeServer) { s.serviceTime = time.Millisecond })
+				}
+				time.Sleep(5 * time.Second)
+				for _, id := range tandoReplicas {
+					g.Expect(h.owner.Usable(id)).To(BeTrue(), string(id))
+				}
+			})
+		})
+	}
+}
--- a/internal/owner/health.go
+++ b/internal/owner/health.go
@@ -295,6 +295,24 @@
 	}
 }
 
+// probeReachability makes a status call on an idle connection, or opens one. It reports
+// whether it did either.
+func (r *replica) probeReachability(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case r.removed || r.closed || now.Before(r.pool.redialAfter):
+		return false
+	case len(r.pool.idle) > 0:
+		r.probeIdleConn()
+	case r.pool.dialingCount > 0 || r.pool.openCount >= r.maxOpenConns():
+		return false
+	default:
+		r.startDial()
+	}
+	return true
+}
+
 // probe makes a status call. It returns false if the connection must be closed.
 func (c *pooledConn) probe() bool {
 	r := c.replica
@@ -313,8 +331,10 @@
 	}
 	var fx effects
 	r.mu.Lock()
+	now := time.Now()
 	c.reportedInFlight = status.InFlight
-	r.applyStatus(c, status, time.Now(), &fx)
+	r.recordReachable(now, &fx)
+	r.applyStatus(c, status, now, &fx)
 	r.mu.Unlock()
 	fx.apply(r.owner)
 	return true
--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -168,15 +168,20 @@
 		r.armRedialTimer(wait)
 		return
 	}
+	for r.pool.openCount+r.pool.dialingCount < wanted {
+		r.startDial()
+	}
+}
+
+// startDial opens one more connection.
+func (r *replica) startDial() {
 	if r.pool.dialCtx == nil {
 		r.pool.dialCtx, r.pool.cancelDials = context.WithCancel(context.Background())
 		r.pool.reserved = map[*pooledConn]struct{}{}
 	}
-	for r.pool.openCount+r.pool.dialingCount < wanted {
-		r.pool.dialingCount++
-		dialCtx := r.pool.dialCtx
-		r.owner.connGoroutines.Go(func() { r.connect(dialCtx) })
-	}
+	r.pool.dialingCount++
+	dialCtx := r.pool.dialCtx
+	r.owner.connGoroutines.Go(func() { r.connect(dialCtx) })
 }
 
 func (r *replica) armRedialTimer(wait time.Duration) {
--- a/internal/ratelimit/simulation_test.go
+++ b/internal/ratelimit/simulation_test.go
@@ -258,6 +258,7 @@
 	"8 hosts, half of the rate": {dataCentres: 3, hosts: 8, replicas: 2, perSecond: 26.6, load: 90, work: 20 * time.Millisecond},
 	"195 hosts":                 {dataCentres: 5, hosts: 195, replicas: 5, perSecond: 1.2, load: 24, work: 160 * time.Millisecond},
 	"195 hosts, near zero":      {dataCentres: 5, hosts: 195, replicas: 5, perSecond: 0.1, load: 24, work: 160 * time.Millisecond},
+	"9 hosts, overload":         {dataCentres: 3, hosts: 9, replicas: 3, perSecond: 20, load: 400, work: 10 * time.Millisecond},
 	"2 hosts, fast":             {dataCentres: 1, hosts: 2, replicas: 2, perSecond: 200, load: 1000, work: 5 * time.Millisecond},
 }
 
