--- /dev/null
+++ b/internal/catalog/peer_state.go
@@ -0,0 +1,90 @@
+package catalog
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/lead"
+	"github.com/arbutusgauge/arbutusgauge/internal/ratelimit"
+	"github.com/arbutusgauge/arbutusgauge/internal/routing"
+)
+
+// maxKeptChanges is the number of newest server changes that a host keeps for
+// its peers; the log is cut to this number when it has grown beyond twice as
+// many.
+const maxKeptChanges = 2000
+
+// changeLog numbers the server changes that had an effect, from 1, and keeps the
+// newest ones. The catalog's mutex guards it.
+type changeLog struct {
+	run     int64          // identifies the process that numbered the changes
+	newest  uint64         // number of the newest change; 0: none
+	changes []ServerChange // the newest ones; the last has the number newest
+}
+
+func (l *changeLog) add(change ServerChange) {
+	l.newest++
+	l.changes = append(l.changes, change)
+	if len(l.changes) > 2*maxKeptChanges {
+		l.changes = append([]ServerChange(nil), l.changes[len(l.changes)-maxKeptChanges:]...)
+	}
+}
+
+// since returns the changes after a number of a run; false if they are not all
+// kept, or the number is of another process.
+func (l *changeLog) since(run int64, after uint64) ([]ServerChange, bool) {
+	if run != l.run || after > l.newest || l.newest-after > uint64(len(l.changes)) {
+		return nil, false
+	}
+	return l.changes[uint64(len(l.changes))-(l.newest-after):], true
+}
+
+// peerState is the answer to a peer at PathState.
+type peerState struct {
+	// Age is the time since the source last answered; see sourceAge.
+	Age   time.Duration  `json:"age"`
+	Table *routing.Table `json:"table,omitempty"` // only if it is newer than the peer's
+	Fleet lead.Fleet     `json:"fleet"`
+	// Revision is the source revision up to which this host knows the servers, in Era.
+	Revision uint64 `json:"revision"`
+	Era      uint64 `json:"era,omitempty"`
+	// Run and Newest are the position in the change log after this answer.
+	Run    int64  `json:"run"`
+	Newest uint64 `json:"next"`
+	// Servers has all servers if Full is set; else Changes has the changes since
+	// the peer's position.
+	Full    bool           `json:"full,omitempty"`
+	Servers []Server       `json:"servers,omitempty"`
+	Changes []ServerChange `json:"changes,omitempty"`
+	// RateLimits are the limits that changed since the peer's position, and
+	// RateLimitsRevision is the position after them.
+	RateLimits         []ratelimit.Known `json:"rate_limits,omitempty"`
+	RateLimitsRevision uint64            `json:"rate_limits_revision,omitempty"`
+}
+
+// decodePeerState decodes the answer of a peer. *StateError reports one that no host
+// of this program sends.
+func decodePeerState(body []byte) (*peerState, error) {
+	var state peerState
+	if err := json.Unmarshal(body, &state); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	switch {
+	case state.Run == 0:
+		return nil, errors.WithStack(&StateError{Problem: "it names no change log"})
+	case state.Age < 0:
+		return nil, errors.WithStack(&StateError{Problem: "its age is negative"})
+	case state.Table != nil && state.Table.Version == 0:
+		return nil, errors.WithStack(&StateError{Problem: "its routing table has no version"})
+	}
+	return &state, nil
+}
+
+// StateError reports a malformed state of a peer.
+type StateError struct{ Problem string }
+
+// Error implements error.
+func (e *StateError) Error() string { return "malformed state: " + e.Problem }
+
