Read the leaders of the permits without a lock

A host could have stopped for ever: a replica is locked while its response's limit is observed, which asked the lead agent for the leaders; the lead agent is locked while it publishes a fleet, which locks all replicas.

The leaders of the last published fleet are kept in a pointer that is read without a lock. TestLeadersAreReadWhileAFleetIsPublished guards it: reading them through the agent would block in it.

--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"sync/atomic"
+
 	"github.com/arbutusgauge/arbutusgauge/internal/aggregate"
 	"github.com/arbutusgauge/arbutusgauge/internal/catalog"
 	"github.com/arbutusgauge/arbutusgauge/internal/lead"
@@ -29,6 +31,27 @@
 	return out
 }
 
+// leaderList holds the leaders of the last published fleet. Reading it takes no lock:
+// limits are observed while a replica is locked, and a fleet is published, which locks
+// all replicas, while the lead agent is locked.
+type leaderList struct {
+	list atomic.Pointer[[]ratelimit.Leader]
+}
+
+// publish replaces the list by the leaders of a fleet, of which host may be one.
+func (l *leaderList) publish(fleet lead.Fleet, host string) {
+	leaders := permitLeaders(fleet, host)
+	l.list.Store(&leaders)
+}
+
+// get returns the list, which must not be changed.
+func (l *leaderList) get() []ratelimit.Leader {
+	if list := l.list.Load(); list != nil {
+		return *list
+	}
+	return nil
+}
+
 // minShardsHeld is the share of a service's shards with a replica in a data centre
 // from which the data centre counts as one that holds the service. It is below 1,
 // so that a lost replica does not move all queries elsewhere.
--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/arbutusgauge/arbutusgauge/internal/lead"
+	"github.com/arbutusgauge/arbutusgauge/internal/ratelimit"
 	"github.com/arbutusgauge/arbutusgauge/internal/release"
 	"github.com/arbutusgauge/arbutusgauge/internal/wire"
 )
@@ -94,3 +95,25 @@
 	}
 	g.Expect(addrs(fleet, small, scattered)).To(Equal(stay), "each data centre holds a part")
 }
+
+// Guards against a deadlock of a fleet that is published with one of a limit that is
+// observed: the lead agent is locked while its fleet is published, and the registry of
+// rate limits asks for the leaders while a replica is locked.
+func TestLeadersAreReadWhileAFleetIsPublished(t *testing.T) {
+	g := NewWithT(t)
+	var leaders leaderList
+	read := make(chan []ratelimit.Leader, 1)
+	agent, err := lead.New(lead.Options{
+		Registry: noSeats{}, Host: lead.Host{Name: "h1", DataCentre: "badin", PeerAddr: "h1:1", Cores: 1},
+		OnFleet: func(fleet lead.Fleet) {
+			leaders.publish(fleet, "h1")
+			read <- leaders.get()
+		},
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	go agent.AdoptFleet(lead.Fleet{Seats: []lead.Seat{{Host: lead.Host{Name: "h2", DataCentre: "tando", PeerAddr: "h2:1", Cores: 1}, Number: 1}}})
+	g.Eventually(read, "2s").Should(Receive(ConsistOf(ratelimit.Leader{DataCentre: "tando", PeerAddr: "h2:1"})))
+}
+
+// noSeats is a Registry without seats.
+type noSeats struct{ lead.Registry }
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -51,6 +51,7 @@
 	hostCount     lead.HostCount // used by OnFleet only, which has no concurrent calls
 	owner         *owner.Owner
 	rateLimits    *ratelimit.Registry
+	permitLeaders leaderList
 	engine        *scatter.Engine
 	gateway       *gateway.Gateway
 	callerHandler *platform.CallerHandler
@@ -93,7 +94,7 @@
 	var err error
 	h.rateLimits, err = ratelimit.New(ratelimit.Options{
 		Clock:        boottime.Now,
-		Leaders:      func() []ratelimit.Leader { return permitLeaders(h.lead.Fleet(), h.settings.Host) },
+		Leaders:      h.permitLeaders.get,
 		DataCentreOf: func(replica wire.ReplicaID) string { return h.owner.DataCentreOf(replica) },
 		Transport:    ratelimit.NewHTTPTransport(),
 		Scope:        h.scope.SubScope("ratelimit"),
@@ -109,6 +110,7 @@
 		},
 		OnFleet: func(fleet lead.Fleet) {
 			hosts := h.hostCount.Update(fleet.Hosts(), time.Now())
+			h.permitLeaders.publish(fleet, h.settings.Host)
 			h.catalog.SetShare(shareOf(fleet, hosts, h.settings.Host))
 			h.rateLimits.SetHosts(hosts)
 		},
--- a/internal/ratelimit/options.go
+++ b/internal/ratelimit/options.go
@@ -32,10 +32,11 @@
 type Options struct {
 	// Clock returns a monotonic time that goes on while the host is suspended.
 	Clock func() time.Duration
-	// Leaders returns the leaders of all data centres.
+	// Leaders returns the leaders of all data centres. It must not wait for a lock: it is
+	// called while a replica is locked.
 	Leaders func() []Leader
 	// DataCentreOf returns the data centre of a replica, or "" if the replica is not
-	// known.
+	// known. It must not wait for a lock either.
 	DataCentreOf func(wire.ReplicaID) string
 	Transport    Transport
 	Scope        tally.Scope   // default: no metrics
