Format the state that peers exchange, and rename a set of replicas

make format failed on peer_state.go, which the split of the tests had left unformatted. In scatter a variable had the name of the package math/bits.

--- a/internal/catalog/peer_state.go
+++ b/internal/catalog/peer_state.go
@@ -87,4 +87,3 @@
 
 // Error implements error.
 func (e *StateError) Error() string { return "malformed state: " + e.Problem }
-
--- a/internal/scatter/attempt.go
+++ b/internal/scatter/attempt.go
@@ -212,13 +212,13 @@
 // rateLimited returns the replicas, as bits, that name a rate limit. What they take is
 // for first tries and retries: a hedge would take it from another query.
 func (q *query) rateLimited(p *part) uint64 {
-	var bits uint64
+	var limited uint64
 	for _, r := range p.shard.replicas {
 		if q.engine.options.RateLimited(r.id) {
-			bits |= r.bit()
+			limited |= r.bit()
 		}
 	}
-	return bits
+	return limited
 }
 
 // unreachableReason returns why no replica of a part can be used now.
