Grant a part of a rate limit only while the leader before may still grant it

Replicas in need could get more than the limit that they name after a data centre's leader changed. Cause: a host may believe for some seconds that it still leads: until it renews its lease, reads the seats or hears of the new leader from its peers. Both grant the whole limit meanwhile, and the users' bound is one and a half times the limit. Class: two holders of one authority.

Ruled out: letting the old leader stop earlier.

A new leader grants a third of the limit for its first 5 s. A host that is without its seat for less than 1 s, as one that takes it again after a restoration of the store, counts as the old one.

--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/arbutusgauge/arbutusgauge/internal/aggregate"
 	"github.com/arbutusgauge/arbutusgauge/internal/catalog"
@@ -21,29 +22,52 @@
 	return share
 }
 
-// permitLeaders returns the hosts that grant permits for replicas with a rate limit, of
-// which host may be one.
-func permitLeaders(fleet lead.Fleet, host string) []ratelimit.Leader {
-	var out []ratelimit.Leader
-	for _, seat := range fleet.Leaders() {
-		out = append(out, ratelimit.Leader{DataCentre: seat.DataCentre, PeerAddr: seat.PeerAddr, Self: seat.Name == host})
-	}
-	return out
-}
+// leadershipGap is the longest time without the first seat after which a host still
+// counts as its holder throughout. A host whose lease has ended takes its seat again
+// within this time, and another host does not take it so soon.
+const leadershipGap = time.Second
 
-// leaderList holds the leaders of the last published fleet. Reading it takes no lock:
-// limits are observed while a replica is locked, and a fleet is published, which locks
-// all replicas, while the lead agent is locked.
+// leaderList holds the leaders of the last published fleet, which grant permits for
+// replicas with a rate limit. Reading it takes no lock: limits are observed while a
+// replica is locked, and a fleet is published, which locks all replicas, while the lead
+// agent is locked.
 type leaderList struct {
 	list atomic.Pointer[[]ratelimit.Leader]
+	// ownSince and ownUntil are the beginning and the last known moment of this host's
+	// leadership; used by publish only, which has no concurrent calls.
+	ownSince, ownUntil time.Duration
+	leads              bool
 }
 
-// publish replaces the list by the leaders of a fleet, of which host may be one.
-func (l *leaderList) publish(fleet lead.Fleet, host string) {
-	leaders := permitLeaders(fleet, host)
+// publish replaces the list by the leaders of a fleet, of which host may be one; now is
+// the time of the clock of ratelimit.
+func (l *leaderList) publish(fleet lead.Fleet, host string, now time.Duration) {
+	var leaders []ratelimit.Leader
+	leads := false
+	for _, seat := range fleet.Leaders() {
+		leader := ratelimit.Leader{DataCentre: seat.DataCentre, PeerAddr: seat.PeerAddr, Self: seat.Name == host}
+		if leader.Self {
+			leads = true
+			leader.Since = l.leadingSince(now)
+		}
+		leaders = append(leaders, leader)
+	}
+	if l.leads {
+		l.ownUntil = now
+	}
+	l.leads = leads
 	l.list.Store(&leaders)
 }
 
+// leadingSince returns when the leadership of this host began, which leads now.
+func (l *leaderList) leadingSince(now time.Duration) time.Duration {
+	continues := l.leads || l.ownSince != 0 && now-l.ownUntil < leadershipGap
+	if !continues {
+		l.ownSince = now
+	}
+	return l.ownSince
+}
+
 // get returns the list, which must not be changed.
 func (l *leaderList) get() []ratelimit.Leader {
 	if list := l.list.Load(); list != nil {
--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -106,7 +107,7 @@
 	agent, err := lead.New(lead.Options{
 		Registry: noSeats{}, Host: lead.Host{Name: "h1", DataCentre: "badin", PeerAddr: "h1:1", Cores: 1},
 		OnFleet: func(fleet lead.Fleet) {
-			leaders.publish(fleet, "h1")
+			leaders.publish(fleet, "h1", time.Second)
 			read <- leaders.get()
 		},
 	})
@@ -115,5 +116,25 @@
 	g.Eventually(read, "2s").Should(Receive(ConsistOf(ratelimit.Leader{DataCentre: "tando", PeerAddr: "h2:1"})))
 }
 
+// Guards against a new leader that counts as an old one, and so grants the whole of a rate
+// limit beside the host whose seat it took, and against a leader that counts as new
+// because it was without its seat for a moment.
+func TestLeadershipBeginsAnewAfterAGap(t *testing.T) {
+	g := NewWithT(t)
+	var leaders leaderList
+	since := func(holder string, now time.Duration) time.Duration {
+		leaders.publish(lead.Fleet{Seats: []lead.Seat{{Host: lead.Host{Name: holder, DataCentre: "badin"}, Number: 1}}}, "h1", now)
+		return leaders.get()[0].Since
+	}
+	g.Expect(since("h2", 1*time.Second)).To(BeZero(), "another host leads")
+	g.Expect(since("h1", 10*time.Second)).To(Equal(10 * time.Second))
+	g.Expect(since("h1", 60*time.Second)).To(Equal(10 * time.Second))
+	g.Expect(since("h2", 80*time.Second)).To(BeZero())
+	g.Expect(since("h1", 80*time.Second+leadershipGap/2)).To(Equal(10 * time.Second))
+	g.Expect(since("h2", 90*time.Second)).To(BeZero())
+	g.Expect(since("h2", 91*time.Second)).To(BeZero())
+	g.Expect(since("h1", 90*time.Second+leadershipGap)).To(Equal(90*time.Second + leadershipGap))
+}
+
 // noSeats is a Registry without seats.
 type noSeats struct{ lead.Registry }
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -110,7 +110,7 @@
 		},
 		OnFleet: func(fleet lead.Fleet) {
 			hosts := h.hostCount.Update(fleet.Hosts(), time.Now())
-			h.permitLeaders.publish(fleet, h.settings.Host)
+			h.permitLeaders.publish(fleet, h.settings.Host, boottime.Now())
 			h.catalog.SetShare(shareOf(fleet, hosts, h.settings.Host))
 			h.rateLimits.SetHosts(hosts)
 		},
--- a/internal/ratelimit/ask.go
+++ b/internal/ratelimit/ask.go
@@ -204,7 +204,7 @@
 func (r *Registry) askLeader(leader Leader, q *question) ([]permission, error) {
 	switch {
 	case leader.Self:
-		return r.permit(q.Wants), nil
+		return r.permit(q.Wants, leader), nil
 	case leader.PeerAddr == "":
 		return nil, errors.WithStack(&NoGrantorError{})
 	}
@@ -248,19 +248,20 @@
 	if err := r.Learn(q.Observed); err != nil {
 		return nil, err
 	}
-	if !r.leads() {
+	self, leads := r.ownLeadership()
+	if !leads {
 		return nil, errors.WithStack(&NoGrantorError{})
 	}
-	text, err := json.Marshal(&answer{Permissions: r.permit(q.Wants)})
+	text, err := json.Marshal(&answer{Permissions: r.permit(q.Wants, self)})
 	return text, errors.WithStack(err)
 }
 
-// leads reports whether this host is a leader.
-func (r *Registry) leads() bool {
+// ownLeadership returns the entry of this host among the leaders, false if it is none.
+func (r *Registry) ownLeadership() (Leader, bool) {
 	for _, leader := range r.options.Leaders() {
 		if leader.Self {
-			return true
+			return leader, true
 		}
 	}
-	return false
+	return Leader{}, false
 }
--- a/internal/ratelimit/options.go
+++ b/internal/ratelimit/options.go
@@ -19,6 +19,8 @@
 	DataCentre string
 	PeerAddr   string // "ip:port"
 	Self       bool   // it is this host
+	// Since is the time of Options.Clock from which this host leads, if Self is set.
+	Since time.Duration
 }
 
 // Transport carries questions to other hosts.
--- a/internal/ratelimit/permits.go
+++ b/internal/ratelimit/permits.go
@@ -18,6 +18,11 @@
 	// burstTime bounds the permits that a grantor saves up while nobody asks, as the
 	// time in which the limit allows them.
 	burstTime = 300 * time.Millisecond
+	// handoverTime is how long a new leader grants only handoverShare of a limit: the
+	// one before it may not know yet that its seat is taken, and grants the whole limit.
+	// It learns that from its lease, its reads of the seats or its peers.
+	handoverTime  = 5 * time.Second
+	handoverShare = 1.0 / 3
 )
 
 // permitValidity returns how long a host may use a permit after it got it, for a rate in
--- a/internal/ratelimit/share.go
+++ b/internal/ratelimit/share.go
@@ -58,15 +58,20 @@
 
 // permit answers the wants of a host for the replicas of the data centre that this
 // host leads.
-func (r *Registry) permit(wants []want) []permission {
+func (r *Registry) permit(wants []want, self Leader) []permission {
+	share := 1.0
+	if r.options.Clock()-self.Since < handoverTime {
+		share = handoverShare
+	}
 	out := make([]permission, len(wants))
 	for i, w := range wants {
-		out[i] = r.permitOne(w.Replica, w.Count)
+		out[i] = r.permitOne(w.Replica, w.Count, share)
 	}
 	return out
 }
 
-func (r *Registry) permitOne(replica wire.ReplicaID, count int) permission {
+// permitOne grants permits for a share of the limit of a replica.
+func (r *Registry) permitOne(replica wire.ReplicaID, count int, share float64) permission {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.replicas[replica]
@@ -74,7 +79,7 @@
 		// The host learns from the leader that it follows that the limit has ended.
 		return permission{}
 	}
-	granted, retryIn := r.grantor.grant(replica, known.rate(), count, r.options.Clock())
+	granted, retryIn := r.grantor.grant(replica, share*known.rate(), count, r.options.Clock())
 	r.metrics.granted.Inc(int64(granted))
 	return permission{Granted: granted, RetryIn: retryIn}
 }
--- a/internal/ratelimit/simulation_test.go
+++ b/internal/ratelimit/simulation_test.go
@@ -32,9 +32,12 @@
 type fleet struct {
 	began time.Time
 
-	mu       sync.Mutex // guards what follows
-	hosts    []*simHost
-	down     map[string]bool // hosts that do not answer, by name
+	mu    sync.Mutex // guards what follows
+	hosts []*simHost
+	down  map[string]bool // hosts that do not answer, by name
+	// rival is a host that has taken over the seat of the leader of its data centre, which
+	// does not know it yet; every second host follows the rival.
+	rival    string
 	replicas map[wire.ReplicaID]*simReplica
 	service  *release.Service
 	work     time.Duration // of a request
@@ -46,6 +49,7 @@
 	name       string
 	dataCentre string
 	registry   *Registry
+	leadsSince time.Duration // if it leads; negative: from before the simulation
 }
 
 // simReplica counts the requests that it gets from hosts that know its limit.
@@ -87,7 +91,7 @@
 
 // addHost adds a host, in place of one with the same name.
 func (f *fleet) addHost(t *testing.T, name, dataCentre string, hosts int) *simHost {
-	h := &simHost{fleet: f, name: name, dataCentre: dataCentre}
+	h := &simHost{fleet: f, name: name, dataCentre: dataCentre, leadsSince: -time.Hour}
 	var err error
 	h.registry, err = New(Options{
 		Clock:        func() time.Duration { return time.Since(f.began) },
@@ -109,19 +113,31 @@
 	return h
 }
 
-// leaders returns the first host of each data centre.
+// leaders returns the leaders that a host knows: the first host of each data centre, or
+// the rival.
 func (f *fleet) leaders(self string) []Leader {
 	var out []Leader
 	seen := map[string]bool{}
 	for _, h := range f.hosts {
-		if !seen[h.dataCentre] {
-			seen[h.dataCentre] = true
-			out = append(out, Leader{DataCentre: h.dataCentre, PeerAddr: h.name, Self: h.name == self})
+		if seen[h.dataCentre] {
+			continue
 		}
+		seen[h.dataCentre] = true
+		leader := h
+		if f.rival != "" && f.host(f.rival).dataCentre == h.dataCentre && f.followsRival(self) {
+			leader = f.host(f.rival)
+		}
+		out = append(out, Leader{DataCentre: h.dataCentre, PeerAddr: leader.name, Self: leader.name == self, Since: leader.leadsSince})
 	}
 	return out
 }
 
+// followsRival reports whether a host knows of the rival.
+func (f *fleet) followsRival(name string) bool {
+	index := slices.IndexFunc(f.hosts, func(h *simHost) bool { return h.name == name })
+	return name == f.rival || index >= 0 && index%2 == 1
+}
+
 // Ask implements Transport.
 func (f *fleet) Ask(ctx context.Context, peer string, question []byte) ([]byte, error) {
 	time.Sleep(2 * peerDelay)
@@ -299,7 +315,7 @@
 				if d.perSecond > 10 {
 					g.Expect(f.received("dc0")).To(BeNumerically(">", before), "replicas of the grantor's data centre")
 				}
-				f.addHost(t, "host0", "dc0", d.hosts)
+				f.addHost(t, "host0", "dc0", d.hosts).leadsSince = time.Since(f.began)
 				f.down["host0"] = false
 				f.run(d, 8*time.Second)
 				f.expectLimitsKept(g, d)
@@ -308,6 +324,32 @@
 	}
 }
 
+// Guards against two hosts that both grant the whole limit: a leader that does not know
+// yet that another host has taken its seat, as after a restoration of the store that has
+// lost the seat.
+func TestLimitsHoldWhileTwoHostsGrant(t *testing.T) {
+	for name, d := range simDeployments {
+		if d.hosts <= d.dataCentres {
+			continue // no data centre has two hosts
+		}
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				f := newFleet(t, d)
+				f.run(d, 8*time.Second)
+				rival := f.hosts[d.dataCentres] // the second host of dc0
+				rival.leadsSince = time.Since(f.began)
+				f.rival = rival.name
+				f.run(d, handoverTime)
+				f.hosts[0], f.hosts[d.dataCentres] = rival, f.hosts[0]
+				f.rival = ""
+				f.run(d, 8*time.Second)
+				f.expectLimitsKept(g, d)
+			})
+		})
+	}
+}
+
 // received returns the requests that the limited replicas of a data centre got.
 func (f *fleet) received(dataCentre string) int {
 	n := 0
