Ask a peer as soon as a starting host knows one

A host that starts while a restored store lacks the operators' newest version adopts the older one, and knows no rate limits, until its first answer of a peer. Cause: the table that it reads from the store ends the short poll interval of the start, and the peers become known just after that, so that the first useful poll came up to 0.4 s later.

The first poll follows within 50 ms of the first known peer; it is one more poll a start, so that hosts that start together do not press their leaders.

--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -157,6 +157,8 @@
 	cursors   map[string]*peerCursor
 	current   string    // the peer that is followed; "": none
 	heldUntil time.Time // until then current is asked first
+	// foundPeers is set once a peer was known to this host.
+	foundPeers bool
 }
 
 func newPeerSet() *peerSet {
@@ -218,7 +220,24 @@
 		if c.View() == nil {
 			interval = peerStartPollInterval
 		}
+		c.sleepUntilPoll(ctx, p, interval)
+	}
+}
+
+// sleepUntilPoll waits for the interval between two polls. A starting host polls as soon
+// as it knows a peer, which may have a newer table than the source, if that was
+// restored, and knows the rate limits.
+func (c *Catalog) sleepUntilPoll(ctx context.Context, p *peerSet, interval time.Duration) {
+	if p.foundPeers {
 		sleep(ctx, interval)
+		return
+	}
+	for until := time.Now().Add(interval); ctx.Err() == nil && time.Now().Before(until); {
+		sleep(ctx, peerStartPollInterval)
+		if len(c.options.Leadership.Peers()) > 0 {
+			p.foundPeers = true
+			return
+		}
 	}
 }
 
--- a/internal/catalog/relay_test.go
+++ b/internal/catalog/relay_test.go
@@ -331,3 +331,42 @@
 	c.applyPeerState(&peerState{Revision: 20, Changes: []ServerChange{{ID: "i-2", Revision: 20}}}, 0)
 	g.Expect(replicaIDs(c)).To(BeEmpty())
 }
+
+// lateLeadership is a Leadership that finds the peers some time after the start, as a
+// host does that reads the seats.
+type lateLeadership struct {
+	fakeLeadership
+	foundAt time.Time
+}
+
+func (f *lateLeadership) Peers() []string {
+	if time.Now().Before(f.foundAt) {
+		return nil
+	}
+	return f.addrs
+}
+
+// Guards against a starting host that uses the older table of a restored source, and
+// knows no rate limits, for a whole poll interval after it could have asked a peer.
+func TestStartingHostAsksAPeerAsSoonAsItKnowsOne(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	leader, err := New(Options{Source: newSource()})
+	g.Expect(err).NotTo(HaveOccurred())
+	leader.SetTable(testTable(5), "test")
+	leader.noteTableAnswer()
+	leader.setServers(nil, history.Position{Revision: 1})
+
+	restored := newSource()
+	restored.putTable(3)
+	leadership := &lateLeadership{fakeLeadership: fakeLeadership{addrs: []string{serveCatalog(t, leader)}}, foundAt: time.Now().Add(100 * time.Millisecond)}
+	starting, err := New(Options{Source: restored, Leadership: leadership})
+	g.Expect(err).NotTo(HaveOccurred())
+	go func() { _ = starting.Run(t.Context()) }()
+	g.Eventually(func() uint64 {
+		if starting.View() == nil {
+			return 0
+		}
+		return starting.View().Table.Version
+	}, "300ms", "5ms").Should(BeEquivalentTo(5))
+}
