Bound the framing of chunked responses

Searches lacked shards, and small hosts lost their processor, when replicas sent chunks of a few bytes without end: a call read them up to the body's limit of 4 MiB, 262,144 chunks of 16 bytes.

Cause: the bounds count the data of a body, and a chunk of one byte costs as much as one of a kilobyte. Ruled out: a bound on the number of chunks, which would cut long bodies in short chunks that the protocol allows.

The bytes around the data of a chunked body are bounded by 256 KiB and an eighth of the data: a body of 50 kB may come in single bytes, one of 4 MiB in chunks of some 50.

--- a/internal/backend/httpconn/conn.go
+++ b/internal/backend/httpconn/conn.go
@@ -130,7 +130,7 @@
 	if err != nil {
 		return nil, c.CloseLost(err)
 	}
-	body, err := readlimit.ReadAll(response.Body, response.ContentLength, readlimit.Limits{
+	body, err := readlimit.ReadAll(c.limitFraming(response), response.ContentLength, readlimit.Limits{
 		What: "body of a response", Max: c.options.MaxResponse, Budget: c.options.Budget,
 	})
 	if err != nil {
@@ -142,6 +142,14 @@
 	return &Response{Code: response.StatusCode, Header: response.Header, Body: body}, nil
 }
 
+// limitFraming returns the body of a response, with a limit if it comes in chunks.
+func (c *Conn) limitFraming(response *http.Response) io.Reader {
+	if len(response.TransferEncoding) == 0 {
+		return response.Body
+	}
+	return &chunkedBody{body: response.Body, stream: c.stream, began: c.stream.read - int64(c.reader.Buffered())}
+}
+
 // readHead reads the head of the final response and skips interim responses.
 func (c *Conn) readHead(method string) (*http.Response, error) {
 	c.stream.beginHead()
--- a/internal/backend/httpconn/endless_test.go
+++ b/internal/backend/httpconn/endless_test.go
@@ -155,6 +155,38 @@
 	}
 }
 
+// Guards against replicas that take the processor of a small host with chunks of a few
+// bytes: a call read up to 4 MiB of them.
+func TestTinyChunksEndEarly(t *testing.T) {
+	for _, name := range []string{"chunks", "tiny chunks"} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			response := endlessResponses[name]
+			c := openConn(t, endlessServer(t, response.prefix, response.repeated), nil)
+			_, err := c.Call(t.Context(), http.MethodGet, writeGet)
+			g.Expect(readlimit.Exceeded(err)).To(BeTrue(), "%v", err)
+			g.Expect(c.stream.read).To(BeNumerically("<", 2<<20))
+		})
+	}
+}
+
+// Guards against a bound on chunks that cuts a long body in short chunks, or a usual one
+// that comes a byte at a time.
+func TestLongBodiesInShortChunksAreWhole(t *testing.T) {
+	for _, c := range []struct{ body, chunk int }{{40 << 10, 1}, {3 << 20, 64}, {3 << 20, 1 << 10}} {
+		t.Run(strconv.Itoa(c.chunk), func(t *testing.T) {
+			g := NewWithT(t)
+			text := strconv.FormatInt(int64(c.chunk), 16) + "\r\n" + strings.Repeat("x", c.chunk) + "\r\n"
+			addr := scriptServer(t, func(conn net.Conn) {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+strings.Repeat(text, c.body/c.chunk)+"0\r\n\r\n")
+			})
+			response, err := openConn(t, addr, nil).Call(t.Context(), http.MethodGet, writeGet)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(len(response.Body)).To(Equal(c.body))
+		})
+	}
+}
+
 // Guards against a response that comes a byte at a time and outlives its caller.
 func TestResponseByteByByteEndsAtTheDeadline(t *testing.T) {
 	g := NewWithT(t)
