Refuse responses with an invalid status, and fuzz what replicas, callers and peers send

A caller's connection ended without an answer when a replica sent a signed response with the status 000: writing that status panics in net/http, which ends the connection. Cause: the client checked that a response is not interim, not that its status is one.

Statuses outside 100 to 599 end the call as lost, so that it is sent to another replica if it may be. TestResponseWithAnInvalidStatusIsLost got the response as whole before.

New native fuzz targets, run by make fuzz, with their seeds in make test: responses of replicas, requests of callers, messages about rate limits.

--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,9 @@
 	$(GO) test ./internal/catalog -run '^$$' -fuzz '^FuzzPeerState$$' -fuzztime $(DECODER_FUZZ_TIME)
 	$(GO) test ./platform -run '^$$' -fuzz '^FuzzDecodeEntries$$' -fuzztime $(DECODER_FUZZ_TIME)
 	$(GO) test ./platform -run '^$$' -fuzz '^FuzzDecodeRequest$$' -fuzztime $(DECODER_FUZZ_TIME)
+	$(GO) test ./platform -run '^$$' -fuzz '^FuzzCallerRequest$$' -fuzztime $(DECODER_FUZZ_TIME)
+	$(GO) test ./internal/backend/httpconn -run '^$$' -fuzz '^FuzzResponse$$' -fuzztime $(DECODER_FUZZ_TIME)
+	$(GO) test ./internal/ratelimit -run '^$$' -fuzz '^FuzzMessages$$' -fuzztime $(DECODER_FUZZ_TIME)
 	$(GO) test -count=1 -timeout $(FUZZ_TIMEOUT) $(FUZZ_PACKAGES) -run 'Stateful|AgainstOracle|UnderFaults' \
 		-rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
 
--- a/internal/backend/httpconn/conn.go
+++ b/internal/backend/httpconn/conn.go
@@ -159,7 +159,10 @@
 		if err != nil {
 			return nil, errors.WithStack(err)
 		}
-		if response.StatusCode/100 != 1 {
+		switch code := response.StatusCode; {
+		case code < 100 || code > 599:
+			return nil, errors.WithStack(&StatusError{Code: code})
+		case code >= 200:
 			return response, nil
 		}
 	}
--- a/internal/backend/httpconn/endless_test.go
+++ b/internal/backend/httpconn/endless_test.go
@@ -245,6 +245,20 @@
 	g.Expect(string(response.Body)).To(Equal("whole"))
 }
 
+// Guards against a status that can't be passed on: writing it to the caller panicked, and
+// the caller's connection ended without an answer.
+func TestResponseWithAnInvalidStatusIsLost(t *testing.T) {
+	g := NewWithT(t)
+	for _, status := range []string{"000", "001", "099", "600", "999"} {
+		addr := scriptServer(t, func(conn net.Conn) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" X\r\nContent-Length: 5\r\n\r\nwhole")
+		})
+		_, err := openConn(t, addr, nil).Call(t.Context(), http.MethodGet, writeGet)
+		var lost *backend.LostError
+		g.Expect(errors.As(err, &lost)).To(BeTrue(), "%s: %v", status, err)
+	}
+}
+
 // Guards against limits that cut responses which the pages allow: a long body, and
 // a body of line breaks behind a short head.
 func TestLongResponsesWithinTheLimitsAreWhole(t *testing.T) {
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -142,3 +142,25 @@
 	g.Expect(r.Limited("a")).To(BeFalse())
 	g.Expect(r.Limited("b")).To(BeTrue(), "the other limits are recorded")
 }
+
+// Guards against panics, and permits beyond what was asked for, on malformed messages of
+// peers.
+func FuzzMessages(f *testing.F) {
+	f.Add([]byte(`{"observed": [{"replica": "a", "limited": true, "per_second": 2, "age": 5}], "wants": [{"replica": "a", "count": 3}]}`))
+	f.Add([]byte(`{"permissions": [{"granted": 1, "retry_in": 1000}]}`))
+	f.Add([]byte(`{"wants": [{"replica": "a", "count": 1048577}]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		r, now := newTestRegistry(t)
+		*now += time.Minute
+		if q, err := decodeQuestion(body); err == nil {
+			text, err := r.Answer(body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := decodeAnswer(text, q.Wants); err != nil {
+				t.Fatalf("own answer refused: %v", err)
+			}
+		}
+		_, _ = decodeAnswer(body, []want{{Replica: "a", Count: 2}})
+	})
+}
