Correct what is said of two leaders, and log that no data centre was heard yet

The package lead and the design said that two leaders do no harm; for the grants of rate limits that is true only because a new leader grants a part. The log of a host that starts gave last_heard=2562047h47m16s, the greatest duration, for never.

--- a/internal/backend/httpconn/errors.go
+++ b/internal/backend/httpconn/errors.go
@@ -15,7 +15,9 @@
 type StatusError struct{ Code int }
 
 // Error implements error.
-func (e *StatusError) Error() string { return "response with the invalid status " + strconv.Itoa(e.Code) }
+func (e *StatusError) Error() string {
+	return "response with the invalid status " + strconv.Itoa(e.Code)
+}
 
 // ClosedError reports a call on a connection that either side has closed, or on
 // which unexpected bytes arrived between calls.
--- a/internal/edge/reachability.go
+++ b/internal/edge/reachability.go
@@ -41,9 +41,9 @@
 	for _, search := range view.Config.Searches {
 		enough = enough && r.reachesEnoughShards(view.Config.Services[search.Service], search.LeastCoverage)
 	}
-	silentFor := time.Since(r.lastHeardElsewhere())
-	cutOff := !enough && silentFor > cutOffAfter
-	r.setCutOff(cutOff, silentFor)
+	lastHeard := r.lastHeardElsewhere()
+	cutOff := !enough && time.Since(lastHeard) > cutOffAfter
+	r.setCutOff(cutOff, lastHeard)
 	return !cutOff
 }
 
@@ -83,8 +83,9 @@
 	return r.cutOff
 }
 
-// setCutOff stores the result of a check and logs a change.
-func (r *reachability) setCutOff(cutOff bool, silentFor time.Duration) {
+// setCutOff stores the result of a check and logs a change. lastHeard is the result of
+// lastHeardElsewhere.
+func (r *reachability) setCutOff(cutOff bool, lastHeard time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if cutOff == r.cutOff {
@@ -95,5 +96,9 @@
 	if !cutOff {
 		event = "other data centres reached again"
 	}
-	r.log.WithField("last_heard", silentFor).Warn(event)
+	var heard any = "never"
+	if !lastHeard.IsZero() {
+		heard = time.Since(lastHeard)
+	}
+	r.log.WithField("last_heard", heard).Warn(event)
 }
--- a/internal/lead/types.go
+++ b/internal/lead/types.go
@@ -6,9 +6,10 @@
 // centres. Holders with more processor time than other hosts also answer whole
 // queries for them.
 //
-// Leadership affects cost only, never correctness: two leaders in a data centre
-// do no harm, and neither does a period without one while another data centre
-// has a leader.
+// Leadership affects cost only: two leaders in a data centre do no harm, and neither
+// does a period without one while another data centre has a leader. The grants for
+// rate limits (package ratelimit) are the exception: a new leader grants a part of each
+// limit while the one before it may still lead.
 package lead
 
 import (
