Use the field's words for rate limits, and look up limited replicas in one place

The condition "known and limited" stood in six places of ratelimit; limitedLocked replaces it. Nothing changes: the tests of ratelimit, scatter, owner and gateway pass under the race detector.

--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -86,7 +86,7 @@
 	Forward(ctx context.Context, query *ForwardedQuery) (*ForwardOutcome, error)
 }
 
-// Permits gets permits to use replicas that name a rate limit.
+// Permits gets permits to use replicas that advertise a rate limit.
 type Permits interface {
 	// Prepare gets the permits that a query of the service needs, as far as there are
 	// any. It waits for a few round trips at most.
@@ -104,7 +104,7 @@
 	OnNewerTable func(peer string)
 	// View returns the current view of the deployment, nil while none is known.
 	View func() *catalog.View
-	// Permits gets permits for replicas that name a rate limit; nil: none is needed.
+	// Permits gets permits for replicas that advertise a rate limit; nil: none is needed.
 	Permits Permits
 	Scope   tally.Scope // default: no metrics
 }
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -30,7 +30,7 @@
 	// LeavingServer reports whether the host list names the backend server of a
 	// replica as leaving. Default: no server is leaving.
 	LeavingServer func(wire.ReplicaID) bool
-	// RateLimiter keeps the limits that replicas name. Default: they are ignored.
+	// RateLimiter keeps the limits that replicas advertise. Default: they are ignored.
 	RateLimiter RateLimiter
 	// WarmConnections is the number of connections kept open to an owned replica
 	// without work. More are opened when sub-requests wait, and closed after
--- a/internal/owner/types.go
+++ b/internal/owner/types.go
@@ -13,7 +13,7 @@
 	Owns(service string, shard uint32, replica wire.ReplicaID) bool
 }
 
-// RateLimiter keeps the rate limits that replicas name in their responses. It is
+// RateLimiter keeps the rate limits that replicas advertise in their responses. It is
 // called with a replica locked and must not block or call the owner.
 type RateLimiter interface {
 	// Observe records what a response says of the limit; took is the time since
--- a/internal/ratelimit/ask.go
+++ b/internal/ratelimit/ask.go
@@ -198,8 +198,8 @@
 		q.Observed = r.knownLocked(func(l *replicaLimit) bool { return l.own && l.revision > told })
 	}
 	for replica := range a.wants {
-		known := r.replicas[replica]
-		if known == nil || !known.limited() {
+		known := r.limitedLocked(replica)
+		if known == nil {
 			continue
 		}
 		most := 1 + int(math.Ceil(known.rate()*permitValidity(known.rate()).Seconds()))
--- a/internal/ratelimit/prepare.go
+++ b/internal/ratelimit/prepare.go
@@ -81,8 +81,8 @@
 	candidates, held := 0, 0
 	for i := range shard.Replicas {
 		replica := shard.Replicas[i].Addr
-		known := r.replicas[replica]
-		if known == nil || !known.limited() {
+		known := r.limitedLocked(replica)
+		if known == nil {
 			choice.usable = true
 			continue
 		}
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -35,7 +35,7 @@
 }
 
 // Guards against a response without a limit that overtakes nothing but was late: it was
-// sent before the replica named its limit.
+// sent before the replica advertised its limit.
 func TestResponseToAnEarlierRequestDoesNotEndTheLimit(t *testing.T) {
 	g := NewWithT(t)
 	r, now := newTestRegistry(t)
--- a/internal/ratelimit/registry.go
+++ b/internal/ratelimit/registry.go
@@ -1,6 +1,6 @@
-// Package ratelimit keeps the rate limits that backend servers in need name in their
-// responses. A limit holds for the requests of all hosts together, for as long as
-// the server names it.
+// Package ratelimit keeps the rate limits that overloaded backend servers advertise in
+// their responses. A limit holds for the requests of all hosts together, for as long as
+// the server advertises it.
 //
 // One host grants the requests of a limited replica: the leader of the replica's
 // data centre. The other hosts ask it for permits when they have requests for the
@@ -55,7 +55,7 @@
 type replicaLimit struct {
 	limit wire.RateLimit
 	since time.Duration // when this limit became known to this host
-	// observedAt is when the newest response that named the limit, or none, reached a
+	// observedAt is when the newest response that advertised the limit, or none, reached a
 	// host.
 	observedAt time.Duration
 	revision   uint64 // of the registry at the last change of the limit
@@ -71,7 +71,7 @@
 	shareNextAt time.Duration
 }
 
-// limited reports whether the replica names a limit.
+// limited reports whether the replica advertises a limit.
 func (l *replicaLimit) limited() bool { return l.limit.State == wire.RateLimited }
 
 // rate returns the requests a second of all hosts that the limit allows.
@@ -169,15 +169,24 @@
 	return time.Duration(requests * float64(r.hosts.Load()) / (lostShare * known.rate()) * float64(time.Second))
 }
 
-// Limited reports whether a replica names a limit.
+// Limited reports whether a replica advertises a limit.
 func (r *Registry) Limited(replica wire.ReplicaID) bool {
 	if r.limitedCount.Load() == 0 {
 		return false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.limitedLocked(replica) != nil
+}
+
+// limitedLocked returns what is known of a replica that advertises a rate limit, nil if
+// it advertises none. The caller holds mu.
+func (r *Registry) limitedLocked(replica wire.ReplicaID) *replicaLimit {
 	known := r.replicas[replica]
-	return known != nil && known.limited()
+	if known == nil || !known.limited() {
+		return nil
+	}
+	return known
 }
 
 // Allows reports whether a request may be sent to a replica now.
@@ -187,8 +196,8 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	known := r.replicas[replica]
-	return known == nil || !known.limited() || r.hasPermit(replica, known)
+	known := r.limitedLocked(replica)
+	return known == nil || r.hasPermit(replica, known)
 }
 
 // Take uses a permit for a request to a replica. It returns false if the request must
@@ -199,8 +208,8 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	known := r.replicas[replica]
-	if known == nil || !known.limited() {
+	known := r.limitedLocked(replica)
+	if known == nil {
 		return true
 	}
 	if !r.hasPermit(replica, known) {
--- a/internal/ratelimit/share.go
+++ b/internal/ratelimit/share.go
@@ -74,8 +74,8 @@
 func (r *Registry) permitOne(replica wire.ReplicaID, count int, share float64) permission {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	known := r.replicas[replica]
-	if known == nil || !known.limited() {
+	known := r.limitedLocked(replica)
+	if known == nil {
 		// The host learns from the leader that it follows that the limit has ended.
 		return permission{}
 	}
--- a/internal/ratelimit/simulation_test.go
+++ b/internal/ratelimit/simulation_test.go
@@ -28,7 +28,7 @@
 	peerDelay  = 5 * time.Millisecond
 )
 
-// fleet simulates hosts in data centres whose replicas name limits, in virtual time.
+// fleet simulates hosts in data centres whose replicas advertise limits, in virtual time.
 type fleet struct {
 	began time.Time
 
@@ -195,7 +195,7 @@
 	}
 }
 
-// end records the answer of a replica to a host, and returns the limit that it names.
+// end records the answer of a replica to a host, and returns the limit that it advertises.
 func (f *fleet) end(id wire.ReplicaID, host string) wire.RateLimit {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/scatter/attempt.go
+++ b/internal/scatter/attempt.go
@@ -209,7 +209,7 @@
 	return ^p.reached
 }
 
-// rateLimited returns the replicas, as bits, that name a rate limit. What they take is
+// rateLimited returns the replicas, as bits, that advertise a rate limit. What they take is
 // for first tries and retries: a hedge would take it from another query.
 func (q *query) rateLimited(p *part) uint64 {
 	var limited uint64
--- a/internal/scatter/options.go
+++ b/internal/scatter/options.go
@@ -40,7 +40,7 @@
 	// It is called for every candidate of an attempt and must not block. If nil,
 	// replicas are judged by their replies alone.
 	EstimateWait func(wire.ReplicaID) (wait time.Duration, usable bool)
-	// RateLimited reports whether a replica names a rate limit. If nil, none does.
+	// RateLimited reports whether a replica advertises a rate limit. If nil, none does.
 	RateLimited func(wire.ReplicaID) bool
 	// Delays are the one-way delays to the other data centres.
 	Delays map[string]time.Duration
--- a/internal/wire/subrequest.go
+++ b/internal/wire/subrequest.go
@@ -106,19 +106,19 @@
 	RateLimit RateLimit
 }
 
-// RateLimitState says whether a response names a rate limit.
+// RateLimitState says whether a response advertises a rate limit.
 type RateLimitState uint8
 
 const (
 	// RateLimitUnstated means that nothing is known, as without a response.
 	RateLimitUnstated RateLimitState = iota
-	// RateUnlimited means that the server answered and names no limit.
+	// RateUnlimited means that the server answered and advertises no limit.
 	RateUnlimited
-	// RateLimited means that the server names a limit.
+	// RateLimited means that the server advertises a limit.
 	RateLimited
 )
 
-// RateLimit is the rate that a server in need takes from all hosts together.
+// RateLimit is the rate that an overloaded server takes from all hosts together.
 type RateLimit struct {
 	State     RateLimitState
 	PerSecond float64 // requests a second, if State is RateLimited
