Say why a short time without a seat keeps a leadership

The comment claimed that no other host takes the seat within a second; what counts is that a seat which another host took does not come back so soon. Comments only.

--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -23,8 +23,8 @@
 }
 
 // leadershipGap is the longest time without the first seat after which a host still
-// counts as its holder throughout. A host whose lease has ended takes its seat again
-// within this time, and another host does not take it so soon.
+// counts as its holder throughout: a host whose lease has ended takes its seat again
+// within this time, while a seat that another host took does not come back so soon.
 const leadershipGap = time.Second
 
 // leaderList holds the leaders of the last published fleet, which grant permits for
@@ -59,7 +59,7 @@
 	l.list.Store(&leaders)
 }
 
-// leadingSince returns when the leadership of this host began, which leads now.
+// leadingSince returns when this host, which leads now, began to lead.
 func (l *leaderList) leadingSince(now time.Duration) time.Duration {
 	continues := l.leads || l.ownSince != 0 && now-l.ownUntil < leadershipGap
 	if !continues {
