--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -159,6 +159,8 @@
 	heldUntil time.Time // until then current is asked first
 	// foundPeers is set once a peer was known to this host.
 	foundPeers bool
+	// refused holds the peers that were asked in vain since a peer was last followed.
+	refused map[string]bool
 }
 
 func newPeerSet() *peerSet {
@@ -167,10 +169,18 @@
 		client: &http.Client{Transport: &http.Transport{
 			DialContext: dialer.DialContext, IdleConnTimeout: peerIdleTimeout, MaxResponseHeaderBytes: maxStateHeadBytes,
 		}},
-		cursors: map[string]*peerCursor{},
+		cursors: map[string]*peerCursor{}, refused: map[string]bool{},
 	}
 }
 
+// noteRefused records a peer that was asked in vain and reports whether it is the first
+// time since a peer was last followed.
+func (p *peerSet) noteRefused(peer string) (first bool) {
+	first = !p.refused[peer]
+	p.refused[peer] = true
+	return first
+}
+
 // peerIdleTimeout is how long an idle connection to a peer is kept open.
 const peerIdleTimeout = 10 * time.Second
 
@@ -190,6 +200,7 @@
 // peer, it is asked first for peerHoldTime.
 func (p *peerSet) setCurrent(peer string, preferred bool, now time.Time) (changed bool) {
 	changed = p.current != peer
+	clear(p.refused)
 	if changed && !preferred {
 		p.heldUntil = now.Add(peerHoldTime)
 	}
@@ -260,9 +271,13 @@
 		}
 		delete(p.cursors, peer)
 		c.options.Scope.Counter("relay_failed").Inc(1)
-		if p.current == peer {
+		first := p.noteRefused(peer)
+		switch {
+		case p.current == peer:
 			p.current, p.heldUntil = "", time.Time{}
 			c.options.Logger.WithError(err).WithField("peer", peer).Info("peer not followed any more")
+		case first:
+			c.options.Logger.WithError(err).WithField("peer", peer).Info("peer can't be followed")
 		}
 	}
 	c.mu.Lock()
