--- a/internal/catalog/options.go
+++ b/internal/catalog/options.go
@@ -34,9 +34,10 @@
 	// RateLimits are the rate limits of the servers, which hosts tell each other with
 	// their state. Nil: none are told.
 	RateLimits RateLimits
-	// HostName and Cores describe this host to the peers that it polls; Cores is
-	// its processor share, in cores.
+	// HostName, PeerAddr and Cores describe this host to the peers that it polls;
+	// PeerAddr is its address for peers, Cores its processor share in cores.
 	HostName string
+	PeerAddr string
 	Cores    float64
 	// Clock returns a monotonic time that goes on while the host is suspended;
 	// default: Go's monotonic clock, which may stop then.
--- a/internal/catalog/peer_state.go
+++ b/internal/catalog/peer_state.go
@@ -47,6 +47,8 @@
 	Age   time.Duration  `json:"age"`
 	Table *routing.Table `json:"table,omitempty"` // only if it is newer than the peer's
 	Fleet lead.Fleet     `json:"fleet"`
+	// Hosts are the addresses of some hosts, if the peer asked for them.
+	Hosts []string `json:"hosts,omitempty"`
 	// Revision is the source revision up to which this host knows the servers, in Era.
 	Revision uint64 `json:"revision"`
 	Era      uint64 `json:"era,omitempty"`
--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -37,11 +37,19 @@
 	// with which the peer's state counts as fresh. Without faults the source answers
 	// the first reader every 0.8 s, and the other leaders poll that one.
 	maxPeerStateAge = 1500 * time.Millisecond
-	// maxPeersPerRound limits the peers that are asked in one poll.
-	maxPeersPerRound = 4
+	// maxPeersPerRound limits the peers that are asked in one poll, and
+	// maxOtherPeersPerRound the hosts after them that do not lead.
+	maxPeersPerRound      = 4
+	maxOtherPeersPerRound = 2
+	// hostSampleInterval is the time after which a host asks the followed peer for
+	// other hosts again.
+	hostSampleInterval = 5 * time.Second
 	// peerHoldTime is how long a host keeps following a peer that is not its
 	// first choice.
 	peerHoldTime = 5 * time.Second
+	// neverFollow is the greatest age of a state that is applied without following the
+	// peer.
+	neverFollow = time.Duration(-1)
 	// neverHeardAge is the initial age of the source's last answer.
 	neverHeardAge = time.Hour
 	// maxStateBytes limits the size of a peer's answer: 70,000 servers take about
@@ -55,9 +63,11 @@
 type peerCursor struct {
 	peer    string // address, "ip:port"
 	follows bool   // tells the peer to count this host as a follower
-	version uint64 // of the routing table that this host has
-	run     int64  // run and newest of the peer's change log; 0: nothing yet
-	newest  uint64
+	// wantsHosts asks the peer for the addresses of some hosts.
+	wantsHosts bool
+	version    uint64 // of the routing table that this host has
+	run        int64  // run and newest of the peer's change log; 0: nothing yet
+	newest     uint64
 	// rateLimits is the position in the rate limits of the process run.
 	rateLimits uint64
 }
@@ -75,10 +85,13 @@
 			cores = 0
 		}
 		if query.Get("follows") != "" {
-			leadership.RecordFollower(query.Get("host"), cores)
+			leadership.RecordFollower(query.Get("host"), query.Get("addr"), cores)
 		}
 		if answer != nil {
 			answer.Fleet = leadership.Fleet()
+			if query.Get("hosts") != "" {
+				answer.Hosts = leadership.SampleHosts()
+			}
 		}
 	}
 	if answer != nil && c.options.RateLimits != nil {
@@ -138,6 +151,13 @@
 	return max(now-c.tableHeardAt, now-c.serversHeardAt)
 }
 
+// hasState reports whether this host knows a table and the servers.
+func (c *Catalog) hasState() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table != nil && c.position.Revision != 0
+}
+
 // isFresh reports whether sourceAge is within maxPeerStateAge.
 func (c *Catalog) isFresh() bool {
 	c.mu.Lock()
@@ -151,6 +171,17 @@
 // Error implements error.
 func (e *PeerError) Error() string { return "peer " + e.Peer + ": " + e.Problem }
 
+// StaleStateError reports a peer whose state is too old to follow the peer.
+type StaleStateError struct {
+	Peer string
+	Age  time.Duration // of the source's last answer to the peer
+}
+
+// Error implements error.
+func (e *StaleStateError) Error() string {
+	return "peer " + e.Peer + ": state is too old: the source last answered " + e.Age.String() + " ago"
+}
+
 // peerSet keeps the positions at the peers and the peer that is followed.
 type peerSet struct {
 	client    *http.Client
@@ -161,6 +192,8 @@
 	foundPeers bool
 	// refused holds the peers that were asked in vain since a peer was last followed.
 	refused map[string]bool
+	// hostsLearnedAt is when a peer was last asked for other hosts.
+	hostsLearnedAt time.Time
 }
 
 func newPeerSet() *peerSet {
@@ -252,42 +285,87 @@
 	}
 }
 
-// pollPeers asks peers until one answers with a fresh state. If none does, it
-// records an outage of the source and tells the Leadership.
+// pollPeers asks the peers until one answers with a fresh state. If none does, it
+// tells the Leadership, learns from other hosts, and records an outage of the source
+// unless one of them has a fresh state.
 func (c *Catalog) pollPeers(ctx context.Context, p *peerSet) {
 	list := c.options.Leadership.Peers()
 	for i, peer := range p.candidates(list, time.Now()) {
-		cursor := p.cursor(peer)
-		cursor.follows = p.current == peer && !c.options.Leadership.Leads()
-		err := c.pollPeer(ctx, p.client, cursor, maxPeerStateAge)
-		if err == nil {
-			if p.setCurrent(peer, i == 0 && peer == list[0], time.Now()) {
-				c.options.Logger.WithField("peer", peer).Info("peer followed")
-			}
-			return
-		}
-		if ctx.Err() != nil {
+		if c.tryPeer(ctx, p, peer, i == 0 && peer == list[0]) || ctx.Err() != nil {
 			return
 		}
-		delete(p.cursors, peer)
-		c.options.Scope.Counter("relay_failed").Inc(1)
-		first := p.noteRefused(peer)
-		switch {
-		case p.current == peer:
-			p.current, p.heldUntil = "", time.Time{}
-			c.options.Logger.WithError(err).WithField("peer", peer).Info("peer not followed any more")
-		case first:
-			c.options.Logger.WithError(err).WithField("peer", peer).Info("peer can't be followed")
-		}
+	}
+	c.options.Leadership.ReportLeaderless()
+	if c.learnFromOthers(ctx, p) {
+		return
 	}
 	c.mu.Lock()
 	c.servers.noteSourceLost(time.Now())
 	c.mu.Unlock()
-	c.options.Leadership.ReportLeaderless()
+}
+
+// learnFromOthers applies the states of hosts that do not lead and reports whether one
+// was fresh. They are not followed, so that a host that can use the store still does
+// what a host without a leader must do. They name the leaders to the other ones.
+func (c *Catalog) learnFromOthers(ctx context.Context, p *peerSet) bool {
+	others := c.options.Leadership.OtherPeers()
+	for _, peer := range others[:min(len(others), maxOtherPeersPerRound)] {
+		cursor := p.cursor(peer)
+		cursor.follows, cursor.wantsHosts = false, true
+		err := c.pollPeer(ctx, p.client, cursor, neverFollow)
+		var stale *StaleStateError
+		switch {
+		case ctx.Err() != nil:
+			return true
+		case !errors.As(err, &stale):
+			delete(p.cursors, peer)
+		case stale.Age <= maxPeerStateAge:
+			return true
+		}
+	}
+	return false
+}
+
+// tryPeer polls a peer and reports whether it can be followed, in which case it
+// becomes the current one. preferred is as for setCurrent.
+func (c *Catalog) tryPeer(ctx context.Context, p *peerSet, peer string, preferred bool) bool {
+	now := time.Now()
+	cursor := p.cursor(peer)
+	cursor.follows = p.current == peer && !c.options.Leadership.Leads()
+	cursor.wantsHosts = now.Sub(p.hostsLearnedAt) >= hostSampleInterval
+	err := c.pollPeer(ctx, p.client, cursor, maxPeerStateAge)
+	if err == nil {
+		if cursor.wantsHosts {
+			p.hostsLearnedAt = now
+		}
+		if p.setCurrent(peer, preferred, time.Now()) {
+			c.options.Logger.WithField("peer", peer).Info("peer followed")
+		}
+		return true
+	}
+	if ctx.Err() != nil {
+		return false
+	}
+	var stale *StaleStateError
+	if !errors.As(err, &stale) {
+		delete(p.cursors, peer)
+	}
+	c.options.Scope.Counter("relay_failed").Inc(1)
+	first := p.noteRefused(peer)
+	switch {
+	case p.current == peer:
+		p.current, p.heldUntil = "", time.Time{}
+		c.options.Logger.WithError(err).WithField("peer", peer).Info("peer not followed any more")
+	case first:
+		c.options.Logger.WithError(err).WithField("peer", peer).Info("peer can't be followed")
+	}
+	return false
 }
 
 // pollPeer fetches and applies the state of a peer after a position, and advances
-// the position. A state older than maxAge gives *PeerError and is not applied.
+// the position. A state older than maxAge gives *StaleStateError: what is later in it
+// than the known state is applied, but the peer can't be followed, and a host without
+// a state does not begin with it.
 func (c *Catalog) pollPeer(ctx context.Context, client *http.Client, cursor *peerCursor, maxAge time.Duration) error {
 	if view := c.View(); view != nil {
 		cursor.version = view.Table.Version
@@ -303,8 +381,10 @@
 	if err != nil {
 		return err
 	}
-	if answer.Age > maxAge {
-		return &PeerError{Peer: cursor.peer, Problem: "state is too old: the source last answered " + answer.Age.String() + " ago"}
+	stale := answer.Age > maxAge
+	if stale && !c.hasState() {
+		// It may name servers that have left and routes that were withdrawn.
+		return &StaleStateError{Peer: cursor.peer, Age: answer.Age}
 	}
 	if answer.Table != nil {
 		c.SetTable(answer.Table, "peer")
@@ -316,22 +396,33 @@
 		}
 	}
 	cursor.run, cursor.newest, cursor.rateLimits = answer.Run, answer.Newest, answer.RateLimitsRevision
-	if leadership := c.options.Leadership; leadership != nil && len(answer.Fleet.Seats) > 0 {
-		leadership.AdoptFleet(answer.Fleet)
+	if leadership := c.options.Leadership; leadership != nil {
+		leadership.LearnHosts(answer.Hosts)
+		switch {
+		case stale:
+			leadership.LearnSeats(answer.Fleet)
+		case len(answer.Fleet.Seats) > 0:
+			leadership.AdoptFleet(answer.Fleet)
+		}
+	}
+	if stale {
+		return &StaleStateError{Peer: cursor.peer, Age: answer.Age}
 	}
 	return nil
 }
 
 // applyPeerState applies the servers of a peer's state; began is the time of
-// Options.Clock just before the call. It ends a recorded outage of the source,
-// because the followed host itself keeps lapsed servers during an outage.
+// Options.Clock just before the call. A fresh state ends a recorded outage of the
+// source, because the peer itself keeps lapsed servers during an outage.
 func (c *Catalog) applyPeerState(answer *peerState, began time.Duration) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	heardAt := began - answer.Age
 	c.tableHeardAt, c.serversHeardAt = max(c.tableHeardAt, heardAt), max(c.serversHeardAt, heardAt)
-	c.servers.sourceLostAt = time.Time{}
+	if answer.Age <= maxPeerStateAge {
+		c.servers.sourceLostAt = time.Time{}
+	}
 	at := history.Position{Era: answer.Era, Revision: answer.Revision}
 	if at.IsBefore(c.position) {
 		// The source or another peer has already provided a later state.
@@ -362,6 +453,10 @@
 	}
 	if cursor.follows {
 		query.Set("follows", "1")
+		query.Set("addr", c.options.PeerAddr)
+	}
+	if cursor.wantsHosts {
+		query.Set("hosts", "1")
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+cursor.peer+PathState+"?"+query.Encode(), nil)
 	if err != nil {
--- a/internal/catalog/relay_test.go
+++ b/internal/catalog/relay_test.go
@@ -25,18 +25,24 @@
 // host leads 100 ms after it found no fresh peer, like a host that takes a seat.
 type fakeLeadership struct {
 	addrs               []string
+	others              atomic.Pointer[[]string]
 	leadsWhenLeaderless atomic.Bool
 	leads               atomic.Bool
 	followerPolls       atomic.Int64
 	leaderlessReports   atomic.Int64
 }
 
-func (f *fakeLeadership) Reads() bool                    { return f.leads.Load() }
-func (f *fakeLeadership) Leads() bool                    { return f.leads.Load() }
-func (f *fakeLeadership) Peers() []string                { return f.addrs }
-func (f *fakeLeadership) RecordFollower(string, float64) { f.followerPolls.Add(1) }
-func (f *fakeLeadership) Fleet() lead.Fleet              { return lead.Fleet{} }
-func (f *fakeLeadership) AdoptFleet(fleet lead.Fleet)    {}
+func (f *fakeLeadership) Reads() bool           { return f.leads.Load() }
+func (f *fakeLeadership) Leads() bool           { return f.leads.Load() }
+func (f *fakeLeadership) Peers() []string       { return f.addrs }
+func (f *fakeLeadership) SampleHosts() []string { return nil }
+func (f *fakeLeadership) LearnHosts([]string)   {}
+func (f *fakeLeadership) LearnSeats(lead.Fleet) {}
+func (f *fakeLeadership) RecordFollower(string, string, float64) {
+	f.followerPolls.Add(1)
+}
+func (f *fakeLeadership) Fleet() lead.Fleet           { return lead.Fleet{} }
+func (f *fakeLeadership) AdoptFleet(fleet lead.Fleet) {}
 func (f *fakeLeadership) ReportLeaderless() {
 	f.leaderlessReports.Add(1)
 	if f.leadsWhenLeaderless.Load() {
@@ -44,6 +50,16 @@
 	}
 }
 
+// setOthers sets the addresses of the hosts that do not lead.
+func (f *fakeLeadership) setOthers(addrs ...string) { f.others.Store(&addrs) }
+
+func (f *fakeLeadership) OtherPeers() []string {
+	if others := f.others.Load(); others != nil {
+		return *others
+	}
+	return nil
+}
+
 // hostPair is a host that reads the source and a host that follows the first
 // one.
 type hostPair struct {
@@ -142,6 +158,63 @@
 	}
 }
 
+// Guards against requests that are refused as an older table says, and servers that are
+// used after they left, at a host that the source refuses and whose leader is behind,
+// while a host that does not lead has the newer state. The host must go on looking for
+// a leader meanwhile.
+func TestRefusedHostLearnsFromAHostThatDoesNotLead(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newHostPair(t)
+	p.followerLeadership.leadsWhenLeaderless.Store(false)
+	left := newServer("i-1", "a")
+	p.leaderSource.putServer(left)
+	g.Eventually(func() int { return len(replicaIDs(p.follower)) }, maxDelay).Should(Equal(1))
+	other, err := New(Options{Source: newSource()})
+	g.Expect(err).NotTo(HaveOccurred())
+	other.SetTable(testTable(9), "test")
+	other.noteTableAnswer()
+	other.setServers([]Server{newServer("i-2", "a")}, history.Position{Revision: 100})
+	p.followerLeadership.setOthers(serveCatalog(t, other))
+	for _, source := range []*fakeSource{p.leaderSource, p.followerSource} {
+		source.set(func(s *fakeSource) { s.err = sourceError{} })
+	}
+	g.Eventually(func() uint64 { return p.follower.View().Table.Version }, maxDelay).Should(BeEquivalentTo(9))
+	g.Expect(replicaIDs(p.follower)).NotTo(ContainElement(left.ReplicaID()))
+	g.Expect(p.followerLeadership.leaderlessReports.Load()).To(BeNumerically(">", 0))
+}
+
+// Guards against a newer table that a host ignores because the peer that has it lost
+// the source, and against a host that begins with the state of such a peer.
+func TestStalePeerGivesWhatIsNewer(t *testing.T) {
+	g := NewWithT(t)
+	stale, err := New(Options{Source: newSource()})
+	g.Expect(err).NotTo(HaveOccurred())
+	stale.SetTable(testTable(5), "test")
+	stale.setServers(nil, history.Position{Revision: 9})
+	stale.tableHeardAt -= 3 * time.Second
+	for name, knowsNothing := range map[string]bool{"knows an older table": false, "knows nothing": true} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			host, err := New(Options{Source: newSource()})
+			g.Expect(err).NotTo(HaveOccurred())
+			if !knowsNothing {
+				host.SetTable(testTable(4), "test")
+				host.setServers([]Server{newServer("i-1", "a")}, history.Position{Revision: 8})
+			}
+			p := newPeerSet()
+			err = host.pollPeer(t.Context(), p.client, p.cursor(serveCatalog(t, stale)), maxPeerStateAge)
+			g.Expect(err).To(BeAssignableToTypeOf(&StaleStateError{}))
+			if knowsNothing {
+				g.Expect(host.View()).To(BeNil())
+				return
+			}
+			g.Expect(host.View().Table.Version).To(BeEquivalentTo(5))
+			g.Expect(host.Servers()).To(BeEmpty())
+		})
+	}
+}
+
 // Guards against lost changes when the peer has dropped changes after the
 // cursor from its log, or has restarted.
 func TestCursorOutsideChangeLogGetsFullState(t *testing.T) {
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -84,15 +84,25 @@
 	Leads() bool
 	// Peers returns the addresses of the hosts to poll, in order of preference.
 	Peers() []string
+	// OtherPeers returns the addresses of hosts to poll if none of Peers has a fresh
+	// state, in random order.
+	OtherPeers() []string
 	// ReportLeaderless is called when none of the peers has a fresh state.
 	ReportLeaderless()
-	// RecordFollower is called when a host that follows this one polls it. name
-	// and cores are the follower's name and processor share.
-	RecordFollower(name string, cores float64)
+	// RecordFollower is called when a host that follows this one polls it. name,
+	// peerAddr and cores are the follower's name, address for peers and processor
+	// share.
+	RecordFollower(name, peerAddr string, cores float64)
+	// SampleHosts returns the addresses of some hosts, for a peer, which passes them
+	// to LearnHosts.
+	SampleHosts() []string
+	LearnHosts(addrs []string)
 	// Fleet returns what this host knows of all hosts, for a follower.
 	Fleet() lead.Fleet
 	// AdoptFleet passes on what the followed peer knows of all hosts.
 	AdoptFleet(fleet lead.Fleet)
+	// LearnSeats passes on what a peer that can't be followed knows of all hosts.
+	LearnSeats(fleet lead.Fleet)
 }
 
 // RateLimits are the rate limits of the servers that a host knows.
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -108,6 +108,7 @@
 		Host: lead.Host{
 			Name: h.settings.Host, DataCentre: h.settings.DataCentre, PeerAddr: h.settings.PeerAddr, Cores: h.settings.Cores,
 		},
+		Seeds: h.settings.Seeds,
 		OnFleet: func(fleet lead.Fleet) {
 			hosts := h.hostCount.Update(fleet.Hosts(), time.Now())
 			h.permitLeaders.publish(fleet, h.settings.Host, boottime.Now())
@@ -125,6 +126,7 @@
 		Leadership:   h.lead,
 		RateLimits:   h.rateLimits,
 		HostName:     h.settings.Host,
+		PeerAddr:     h.settings.PeerAddr,
 		Cores:        h.settings.Cores,
 		Clock:        boottime.Now,
 		ExtraLoad:    h.settings.ExtraLoad * extraBudgetShare,
--- a/internal/lead/agent.go
+++ b/internal/lead/agent.go
@@ -69,6 +69,7 @@
 	fleet       Fleet
 	ownSeat     *Seat               // the seat that this host holds; nil: none
 	followers   map[string]follower // by host name
+	knownHosts  []string            // addresses of some other hosts; see OtherPeers
 	nextProbeAt time.Time           // zero: no probe is scheduled
 	// lastProbeAt is the time of the last probe that found a taken seat.
 	lastProbeAt    time.Time
@@ -77,6 +78,8 @@
 	// leaderlessSince is the time since which no leader can be followed; zero
 	// while one can.
 	leaderlessSince time.Time
+	// hasFollowed is set once a leader was followed.
+	hasFollowed bool
 	// readsUntil is the time until which this host, as a leader, reads the store
 	// itself although it is not the first reader.
 	readsUntil time.Time
@@ -177,7 +180,7 @@
 func (a *Agent) AdoptFleet(fleet Fleet) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.leaderlessSince = time.Time{}
+	a.leaderlessSince, a.hasFollowed = time.Time{}, true
 	a.setFleet(fleet)
 	a.scheduleProbe(time.Now())
 }
--- a/internal/lead/count.go
+++ b/internal/lead/count.go
@@ -2,14 +2,16 @@
 
 import "time"
 
-// RecordFollower records that a host follows this one, for followerTTL. cores is
-// the follower's processor share; 0 if it is unknown.
-func (a *Agent) RecordFollower(name string, cores float64) {
+// RecordFollower records that a host follows this one, for followerTTL. peerAddr is
+// the address at which it serves other hosts, "" if it is unknown; cores is its
+// processor share, 0 if it is unknown.
+func (a *Agent) RecordFollower(name, peerAddr string, cores float64) {
 	if name == "" || !isCores(cores) {
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.rememberHost(peerAddr)
 	a.followers[name] = follower{polledAt: time.Now(), cores: cores}
 }
 
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -163,25 +164,39 @@
 		if agent.Reads() && f.reachesStore(name) {
 			continue
 		}
-		followed := false
-		for _, peer := range agent.Peers() {
-			other := f.host(peer)
-			if other == nil || !f.isFresh(peer) {
-				continue
-			}
-			if !agent.Leads() {
-				other.agent.RecordFollower(name, cores)
-			}
-			agent.AdoptFleet(other.agent.Fleet())
-			followed = true
-			break
+		if slices.ContainsFunc(agent.Peers(), func(peer string) bool { return f.follow(name, peer, cores) }) {
+			continue
 		}
-		if !followed {
-			agent.ReportLeaderless()
+		agent.ReportLeaderless()
+		others := agent.OtherPeers()
+		for _, peer := range others[:min(len(others), 2)] {
+			if other := f.host(peer); other != nil {
+				agent.LearnHosts(other.agent.SampleHosts())
+				agent.LearnSeats(other.agent.Fleet())
+			}
 		}
 	}
 }
 
+// follow asks a peer for its state, as the host with the given name, and reports whether
+// that can be followed.
+func (f *testFleet) follow(name, peer string, cores float64) bool {
+	host, other := f.host(name), f.host(peer)
+	if host == nil || other == nil {
+		return false
+	}
+	host.agent.LearnHosts(other.agent.SampleHosts())
+	if !f.isFresh(peer) {
+		host.agent.LearnSeats(other.agent.Fleet())
+		return false
+	}
+	if !host.agent.Leads() {
+		other.agent.RecordFollower(name, name, cores)
+	}
+	host.agent.AdoptFleet(other.agent.Fleet())
+	return true
+}
+
 // isFresh reports whether a host has a fresh state: it reads the store, or it
 // follows the host that does.
 func (f *testFleet) isFresh(name string) bool {
@@ -368,6 +383,75 @@
 	}
 }
 
+// Guards against hosts that the store refuses and that find no leader, because the
+// store refuses all leaders and reserves that they know as well, while the other hosts
+// have replaced these.
+func TestRefusedHostsFindTheNewLeaders(t *testing.T) {
+	for phase := range 6 {
+		t.Run(fmt.Sprint("phase ", phase), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startLargeFleet(t)
+				defer f.stop()
+				time.Sleep(time.Duration(phase) * 700 * time.Millisecond)
+				f.store.mu.Lock()
+				for _, seat := range f.hosts["h00"].agent.Fleet().Seats {
+					f.store.refusedHosts[seat.Name] = true
+				}
+				for i := 0; i < 79; i += 3 {
+					f.store.refusedHosts[fmt.Sprintf("h%02d", i+i%2)] = true
+				}
+				f.store.mu.Unlock()
+				// The users allow 5 s, of which the leaders' state counts as fresh for 1.5 s.
+				time.Sleep(3500 * time.Millisecond)
+				for name, m := range f.hosts {
+					known := f.isFresh(name) || slices.ContainsFunc(m.agent.Peers(), f.isFresh)
+					f.g.Expect(known).To(BeTrue(), name+" has no leader to follow")
+				}
+			})
+		})
+	}
+}
+
+// Guards against a host that keeps a seat, or polls leaders, that were replaced long
+// ago, because only hosts without a fresh state can tell it.
+func TestLaterSeatsOfAStalePeerAreLearned(t *testing.T) {
+	g := NewWithT(t)
+	agent, err := New(Options{
+		Registry: &fakeRegistry{store: &fakeStore{seats: map[string]seatEntry{}}, host: "h1"},
+		Host:     Host{Name: "h1", DataCentre: "badin", PeerAddr: "h1", Cores: 1}, OnFleet: func(Fleet) {},
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	seat := func(name, dc string, revision uint64) Seat {
+		return Seat{Host: Host{Name: name, DataCentre: dc, PeerAddr: name}, Number: 1, Position: history.Position{Revision: revision}, Hosts: 1}
+	}
+	own := seat("h1", "badin", 22)
+	agent.ownSeat = &own
+	agent.AdoptFleet(Fleet{Seats: []Seat{seat("h4", "thatta", 26), seat("h8", "tando", 30)}})
+	agent.ReportLeaderless()
+	agent.LearnSeats(Fleet{Seats: []Seat{seat("h0", "badin", 37), seat("h9", "thatta", 41), seat("h7", "tando", 29)}})
+	g.Expect(agent.Leads()).To(BeFalse())
+	g.Expect(agent.Peers()).To(ConsistOf("h0", "h9", "h8"))
+}
+
+// Guards against memory that grows with the hosts that poll this one, and against a
+// host that names itself.
+func TestKnownHostsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	agent, err := New(Options{
+		Registry: &fakeRegistry{store: &fakeStore{seats: map[string]seatEntry{}}, host: "h1"},
+		Host:     Host{Name: "h1", DataCentre: "badin", PeerAddr: "h1", Cores: 1}, OnFleet: func(Fleet) {},
+		Seeds: []string{"seed", "h1"},
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	for i := range 100 {
+		agent.RecordFollower("follower", fmt.Sprint("f", i), 1)
+	}
+	agent.LearnHosts([]string{"h1", "", "other"})
+	g.Expect(agent.SampleHosts()).To(HaveLen(maxKnownHosts))
+	g.Expect(agent.OtherPeers()).To(ContainElements("seed", "other"))
+	g.Expect(agent.OtherPeers()).NotTo(ContainElement("h1"))
+}
+
 // Guards against hosts that wait for the end of the leases of their earlier
 // processes when all hosts restart after a power loss.
 func TestRestartedHostsRetakeTheirSeatsAtOnce(t *testing.T) {
--- a/internal/lead/seat.go
+++ b/internal/lead/seat.go
@@ -28,9 +28,14 @@
 	}
 	seat.Position = next
 	a.mu.Lock()
+	lostLeaders := a.hasFollowed && !a.leaderlessSince.IsZero()
 	a.ownSeat, a.leaderlessSince = &seat, time.Time{}
 	a.setFleet(a.fleet)
 	leads := a.leads()
+	if leads && lostLeaders {
+		// The first reader could not be followed, so there is no need to ask it again.
+		a.readInstead(time.Now())
+	}
 	a.mu.Unlock()
 	a.options.Logger.WithFields(log.Fields{"seat": number, "leads": leads, "replaced_revision": replaced.Revision}).Info("seat taken")
 	return true
--- a/internal/lead/types.go
+++ b/internal/lead/types.go
@@ -134,6 +134,9 @@
 type Options struct {
 	Registry Registry
 	Host     Host
+	// Seeds are the addresses of hosts that may be asked for the leaders. They may be
+	// lost or stale.
+	Seeds []string
 	// OnFleet is called with each changed fleet, one call at a time. It runs while
 	// the agent is locked and must not call it.
 	OnFleet func(Fleet)
