--- a/internal/catalog/options.go
+++ b/internal/catalog/options.go
@@ -34,6 +34,9 @@
 	// RateLimits are the rate limits of the servers, which hosts tell each other with
 	// their state. Nil: none are told.
 	RateLimits RateLimits
+	// Quarantine knows the suspected requests, which hosts tell each other with their
+	// state. Nil: none are told.
+	Quarantine Quarantine
 	// HostName, PeerAddr and Cores describe this host to the peers that it polls;
 	// PeerAddr is its address for peers, Cores its processor share in cores.
 	HostName string
--- a/internal/catalog/peer_state.go
+++ b/internal/catalog/peer_state.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/arbutusgauge/arbutusgauge/internal/lead"
+	"github.com/arbutusgauge/arbutusgauge/internal/quarantine"
 	"github.com/arbutusgauge/arbutusgauge/internal/ratelimit"
 	"github.com/arbutusgauge/arbutusgauge/internal/routing"
 )
@@ -64,6 +65,10 @@
 	// RateLimitsRevision is the position after them.
 	RateLimits         []ratelimit.Known `json:"rate_limits,omitempty"`
 	RateLimitsRevision uint64            `json:"rate_limits_revision,omitempty"`
+	// Quarantine are the records of suspected requests that changed since the peer's
+	// position, and QuarantineRevision is the position after them.
+	Quarantine         []quarantine.Known `json:"quarantine,omitempty"`
+	QuarantineRevision uint64             `json:"quarantine_revision,omitempty"`
 }
 
 // decodePeerState decodes the answer of a peer. *StateError reports one that no host
--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -68,8 +68,9 @@
 	version    uint64 // of the routing table that this host has
 	run        int64  // run and newest of the peer's change log; 0: nothing yet
 	newest     uint64
-	// rateLimits is the position in the rate limits of the process run.
-	rateLimits uint64
+	// rateLimits and quarantine are the positions in the rate limits and in the
+	// suspected requests of the process run.
+	rateLimits, quarantine uint64
 }
 
 // ServeState serves this host's state to a peer, from the position in the query
@@ -94,17 +95,24 @@
 			}
 		}
 	}
-	if answer != nil && c.options.RateLimits != nil {
-		known := parseUintOrZero(query.Get("rate_limits"))
-		if query.Get("run") != strconv.FormatInt(answer.Run, 10) {
-			known = 0 // a position at another process
-		}
-		answer.RateLimits, answer.RateLimitsRevision = c.options.RateLimits.Since(known)
-	}
 	if answer == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	// A position at another process means nothing here.
+	samePosition := query.Get("run") == strconv.FormatInt(answer.Run, 10)
+	position := func(name string) uint64 {
+		if !samePosition {
+			return 0
+		}
+		return parseUintOrZero(query.Get(name))
+	}
+	if c.options.RateLimits != nil {
+		answer.RateLimits, answer.RateLimitsRevision = c.options.RateLimits.Since(position("rate_limits"))
+	}
+	if c.options.Quarantine != nil {
+		answer.Quarantine, answer.QuarantineRevision = c.options.Quarantine.Since(position("quarantine"))
+	}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(answer); err != nil {
 		c.options.Logger.WithError(err).Warn("state not delivered to a peer")
@@ -395,7 +403,12 @@
 			c.options.Logger.WithError(err).WithField("peer", cursor.peer).Warn("rate limits of a peer refused")
 		}
 	}
-	cursor.run, cursor.newest, cursor.rateLimits = answer.Run, answer.Newest, answer.RateLimitsRevision
+	if c.options.Quarantine != nil {
+		if err := c.options.Quarantine.Learn(answer.Quarantine); err != nil {
+			c.options.Logger.WithError(err).WithField("peer", cursor.peer).Warn("suspected requests of a peer refused")
+		}
+	}
+	cursor.run, cursor.newest, cursor.rateLimits, cursor.quarantine = answer.Run, answer.Newest, answer.RateLimitsRevision, answer.QuarantineRevision
 	if leadership := c.options.Leadership; leadership != nil {
 		leadership.LearnHosts(answer.Hosts)
 		switch {
@@ -449,6 +462,7 @@
 		"next":        {strconv.FormatUint(cursor.newest, 10)},
 		"host":        {c.options.HostName},
 		"rate_limits": {strconv.FormatUint(cursor.rateLimits, 10)},
+		"quarantine":  {strconv.FormatUint(cursor.quarantine, 10)},
 		"cores":       {strconv.FormatFloat(c.options.Cores, 'f', -1, 64)},
 	}
 	if cursor.follows {
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -11,6 +11,7 @@
 
 	"github.com/arbutusgauge/arbutusgauge/internal/history"
 	"github.com/arbutusgauge/arbutusgauge/internal/lead"
+	"github.com/arbutusgauge/arbutusgauge/internal/quarantine"
 	"github.com/arbutusgauge/arbutusgauge/internal/ratelimit"
 	"github.com/arbutusgauge/arbutusgauge/internal/routing"
 	"github.com/arbutusgauge/arbutusgauge/internal/wire"
@@ -113,6 +114,16 @@
 	Learn(limits []ratelimit.Known) error
 }
 
+// Quarantine knows the requests that are suspected of crashing servers, or refused for
+// it.
+type Quarantine interface {
+	// Since returns the records that changed after a revision, and the revision up to
+	// which they were returned.
+	Since(revision uint64) ([]quarantine.Known, uint64)
+	// Learn records what a peer knows. An error reports malformed records.
+	Learn(records []quarantine.Known) error
+}
+
 // HistoryGoneError reports that the source does not hold the changes after a position:
 // they are too old, or lost with a restoration. The watcher must read the full state
 // again.
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -76,6 +76,17 @@
 	return nil
 }
 
+// otherAddrs returns the addresses of the leaders other than this host.
+func (l *leaderList) otherAddrs() []string {
+	var addrs []string
+	for _, leader := range l.get() {
+		if !leader.Self && leader.PeerAddr != "" {
+			addrs = append(addrs, leader.PeerAddr)
+		}
+	}
+	return addrs
+}
+
 // minShardsHeld is the share of a service's shards with a replica in a data centre
 // from which the data centre counts as one that holds the service. It is below 1,
 // so that a lost replica does not move all queries elsewhere.
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -25,6 +25,7 @@
 	"github.com/arbutusgauge/arbutusgauge/internal/gateway"
 	"github.com/arbutusgauge/arbutusgauge/internal/lead"
 	"github.com/arbutusgauge/arbutusgauge/internal/owner"
+	"github.com/arbutusgauge/arbutusgauge/internal/quarantine"
 	"github.com/arbutusgauge/arbutusgauge/internal/ratelimit"
 	"github.com/arbutusgauge/arbutusgauge/internal/readlimit"
 	"github.com/arbutusgauge/arbutusgauge/internal/scatter"
@@ -51,6 +52,7 @@
 	hostCount     lead.HostCount // used by OnFleet only, which has no concurrent calls
 	owner         *owner.Owner
 	rateLimits    *ratelimit.Registry
+	quarantine    *quarantine.Registry
 	permitLeaders leaderList
 	engine        *scatter.Engine
 	gateway       *gateway.Gateway
@@ -103,6 +105,18 @@
 	if err != nil {
 		return err
 	}
+	h.quarantine, err = quarantine.New(quarantine.Options{
+		Clock:     boottime.Now,
+		Leaders:   h.permitLeaders.otherAddrs,
+		Leads:     func() bool { return h.lead.Leads() },
+		Followers: func() []string { return h.lead.Followers() },
+		Transport: quarantine.NewHTTPTransport(),
+		Scope:     h.scope.SubScope("quarantine"),
+		Logger:    h.log,
+	})
+	if err != nil {
+		return err
+	}
 	h.lead, err = lead.New(lead.Options{
 		Registry: platform.NewSeatRegistry(store),
 		Host: lead.Host{
@@ -125,6 +139,7 @@
 		AnswerMargin: answerMargin,
 		Leadership:   h.lead,
 		RateLimits:   h.rateLimits,
+		Quarantine:   h.quarantine,
 		HostName:     h.settings.Host,
 		PeerAddr:     h.settings.PeerAddr,
 		Cores:        h.settings.Cores,
@@ -156,6 +171,7 @@
 		Dialer:                 platform.NewDialer(h.readBudget, h.catalog.HealthPath),
 		Ownership:              ownsAll{},
 		RateLimiter:            h.rateLimits,
+		Suspects:               h.quarantine,
 		Scope:                  h.scope.SubScope("owner"),
 		Logger:                 h.log,
 		Timings: owner.Timings{
@@ -178,6 +194,7 @@
 		MinHedgeDelay: minHedgeDelay,
 		EstimateWait:  h.owner.EstimateWait,
 		RateLimited:   h.rateLimits.Limited,
+		Quarantined:   h.quarantine.Quarantined,
 		Scope:         h.scope.SubScope("scatter"),
 		Logger:        h.log,
 	})
@@ -207,7 +224,7 @@
 	var err error
 	h.gateway, err = gateway.New(gateway.Options{
 		Engine: h.engine, View: h.catalog.View, Forwarder: forwarder, OnNewerTable: h.catalog.CatchUp, Permits: h.rateLimits,
-		Scope: h.scope.SubScope("gateway"),
+		Quarantine: h.quarantine, Scope: h.scope.SubScope("gateway"),
 	})
 	if err != nil {
 		return err
@@ -246,6 +263,7 @@
 	peers := echo.New()
 	peers.GET(catalog.PathState, echo.WrapHandler(http.HandlerFunc(h.catalog.ServeState)))
 	peers.POST(ratelimit.PathPermits, echo.WrapHandler(http.HandlerFunc(h.rateLimits.ServePermits)))
+	peers.POST(quarantine.PathRecords, echo.WrapHandler(http.HandlerFunc(h.quarantine.ServeRecords)))
 	queries := aggregate.NewServer(h.gateway, h.isLeaving, h.readBudget, h.scope.SubScope("aggregate"), h.log)
 	peers.POST(aggregate.PathQuery, func(c echo.Context) error {
 		// echo's own writer would take the interim response for the final one.
@@ -301,7 +319,7 @@
 	var group run.Group
 	h.addShutdown(&group, ctx)
 	for _, actor := range []func(context.Context) error{
-		h.owner.Run, h.catalog.Run, h.lead.Run,
+		h.owner.Run, h.catalog.Run, h.lead.Run, h.quarantine.Run,
 		func(ctx context.Context) error { return h.catalog.StartFromPeers(ctx, h.settings.Seeds) },
 		func(ctx context.Context) error { return h.watchSettings(ctx, settingsChanged) },
 	} {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/arbutusgauge/arbutusgauge/internal/catalog"
+	"github.com/arbutusgauge/arbutusgauge/internal/quarantine"
 	"github.com/arbutusgauge/arbutusgauge/internal/release"
 	"github.com/arbutusgauge/arbutusgauge/internal/routing"
 	"github.com/arbutusgauge/arbutusgauge/internal/scatter"
@@ -44,6 +45,9 @@
 	case options.View == nil:
 		return nil, &OptionError{Option: "View"}
 	}
+	if options.Quarantine == nil {
+		options.Quarantine = noQuarantine{}
+	}
 	if options.Scope == nil {
 		options.Scope = tally.NoopScope
 	}
@@ -95,11 +99,14 @@
 		return nil, &NoTimeLeftError{}
 	}
 	result.Service = serviceName(route)
+	if err := g.options.Quarantine.Check(request.Key); err != nil {
+		return nil, err
+	}
 	payload := request.Payload(route.Merged())
 	if route.Merged() && g.options.Forwarder != nil {
 		answer, accepted, err := g.forward(ctx, request, result, ForwardedQuery{
 			ID: request.ID, Host: request.Host, Path: request.Path, Version: view.Table.Version,
-			TimeLeft: timeLeft, Elapsed: elapsed, Payload: payload,
+			TimeLeft: timeLeft, Elapsed: elapsed, Payload: payload, Key: request.Key,
 		})
 		if accepted || err != nil {
 			return answer, err
@@ -107,7 +114,7 @@
 		timeLeft -= time.Since(request.Arrived) - elapsed
 		elapsed = time.Since(request.Arrived)
 	}
-	return g.runLocally(ctx, view, scatter.Query{Deadline: timeLeft, Elapsed: elapsed, Payload: payload}, result)
+	return g.runLocally(ctx, view, scatter.Query{Deadline: timeLeft, Elapsed: elapsed, Payload: payload, Key: request.Key}, result)
 }
 
 // forward forwards a merged query to another host. taken reports that a host has
@@ -139,6 +146,12 @@
 func (g *Gateway) runLocally(ctx context.Context, view *catalog.View, query scatter.Query, result *Result) (*Answer, error) {
 	route := result.Route
 	query.Config, query.Service, query.Search, query.Repeatable = view.Config, result.Service, route.Name, route.Repeatable
+	admission, err := g.options.Quarantine.Admit(query.Key)
+	if err != nil {
+		return nil, err
+	}
+	defer admission.Done()
+	query.Trial = admission.Trial
 	g.preparePermits(ctx, view.Config.Services[result.Service], &query)
 	engineAnswer, err := g.options.Engine.Run(ctx, query)
 	if err != nil {
@@ -183,7 +196,9 @@
 		return &ForwardOutcome{Failure: FailedNotRun, Version: view.Table.Version, Reason: (&NoRouteError{Host: query.Host, Path: query.Path}).Error()}
 	}
 	result := Result{Route: route, Version: view.Table.Version, Service: serviceName(route)}
-	answer, err := g.runLocally(ctx, view, scatter.Query{Deadline: query.TimeLeft, Elapsed: query.Elapsed, Payload: query.Payload}, &result)
+	answer, err := g.runLocally(ctx, view, scatter.Query{
+		Deadline: query.TimeLeft, Elapsed: query.Elapsed, Payload: query.Payload, Key: query.Key,
+	}, &result)
 	outcome := &ForwardOutcome{Version: result.Version, Coverage: result.Coverage, Missing: result.Missing, Work: result.Work}
 	if err != nil {
 		outcome.Failure, outcome.Reason = failureOf(err), err.Error()
@@ -196,11 +211,12 @@
 // failureOf returns the Failure for an error of a query.
 func failureOf(err error) Failure {
 	var (
-		notRun *scatter.NotRunError
-		below  *scatter.BelowCoverageError
+		notRun  *scatter.NotRunError
+		refused *quarantine.RefusedError
+		below   *scatter.BelowCoverageError
 	)
 	switch {
-	case errors.As(err, &notRun):
+	case errors.As(err, &notRun), errors.As(err, &refused):
 		return FailedNotRun
 	case errors.As(err, &below):
 		return FailedCoverage
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -10,8 +10,10 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/arbutusgauge/arbutusgauge/internal/catalog"
+	"github.com/arbutusgauge/arbutusgauge/internal/quarantine"
 	"github.com/arbutusgauge/arbutusgauge/internal/release"
 	"github.com/arbutusgauge/arbutusgauge/internal/scatter"
+	"github.com/arbutusgauge/arbutusgauge/internal/wire"
 )
 
 // Engine runs queries on the replicas; *scatter.Engine implements it.
@@ -29,6 +31,9 @@
 	// Payload returns the payload for the replicas. part tells the adapter of the
 	// replicas whether the request is for a part of a merged answer.
 	Payload func(part bool) []byte
+	// Key identifies the request when it comes again; the zero value disables the
+	// quarantine for it.
+	Key wire.RequestKey
 }
 
 // Answer is the answer to a successful request. A merged answer has Proofs,
@@ -51,6 +56,8 @@
 	TimeLeft time.Duration `json:"left"`    // until the deadline
 	Elapsed  time.Duration `json:"used"`    // since the caller's request arrived; counts against the latency goal
 	Payload  []byte        `json:"payload"`
+	// Key is zero in queries of hosts of earlier versions.
+	Key wire.RequestKey `json:"key,omitzero"`
 }
 
 // Failure classifies the failure of a forwarded query; "" means that it was
@@ -93,6 +100,24 @@
 	Prepare(ctx context.Context, service *release.Service)
 }
 
+// Quarantine decides about requests that may crash the servers that run them.
+type Quarantine interface {
+	// Check returns an error for a request that must not be sent to servers.
+	Check(key wire.RequestKey) error
+	// Admit is Check for a request that this host is about to send to servers, and says
+	// how it may be sent.
+	Admit(key wire.RequestKey) (quarantine.Admission, error)
+}
+
+// noQuarantine is a Quarantine that admits all requests.
+type noQuarantine struct{}
+
+func (noQuarantine) Check(wire.RequestKey) error { return nil }
+
+func (noQuarantine) Admit(wire.RequestKey) (quarantine.Admission, error) {
+	return quarantine.Admission{Done: func() {}}, nil
+}
+
 // Options configure a Gateway.
 type Options struct {
 	Engine Engine
@@ -106,5 +131,7 @@
 	View func() *catalog.View
 	// Permits gets permits for replicas that advertise a rate limit; nil: none is needed.
 	Permits Permits
-	Scope   tally.Scope // default: no metrics
+	// Quarantine decides about requests that may crash servers; default: all are admitted.
+	Quarantine Quarantine
+	Scope      tally.Scope // default: no metrics
 }
--- a/internal/lead/agent.go
+++ b/internal/lead/agent.go
@@ -92,6 +92,7 @@
 // follower is the last poll of a host that follows this one.
 type follower struct {
 	polledAt time.Time
+	peerAddr string // "" if it is unknown
 	cores    float64
 }
 
--- a/internal/lead/count.go
+++ b/internal/lead/count.go
@@ -12,7 +12,21 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.rememberHost(peerAddr)
-	a.followers[name] = follower{polledAt: time.Now(), cores: cores}
+	a.followers[name] = follower{polledAt: time.Now(), peerAddr: peerAddr, cores: cores}
+}
+
+// Followers returns the addresses for peers of the hosts that follow this one.
+func (a *Agent) Followers() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	var addrs []string
+	for _, f := range a.followers {
+		if f.peerAddr != "" && now.Sub(f.polledAt) <= followerTTL {
+			addrs = append(addrs, f.peerAddr)
+		}
+	}
+	return addrs
 }
 
 // updateFollowerCount sets Hosts and LeastCores of the own seat from the
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -49,6 +49,7 @@
 	fault        fault
 	unsentCalls  int           // number of next Run calls that fail with faultUnsent
 	refuseDials  bool          // dials fail with ECONNREFUSED
+	dialsTimeOut bool          // dials fail with ETIMEDOUT, as behind a partition
 	dialCost     time.Duration // delay of a new connection
 	status       backend.Status
 	statusFrozen bool // status calls are not answered
@@ -86,6 +87,9 @@
 	time.Sleep(cost)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.dialsTimeOut {
+		return nil, &backend.DialError{Replica: id, Err: syscall.ETIMEDOUT}
+	}
 	if s.refuseDials {
 		return nil, &backend.DialError{Replica: id, Err: syscall.ECONNREFUSED}
 	}
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -32,6 +32,8 @@
 	LeavingServer func(wire.ReplicaID) bool
 	// RateLimiter keeps the limits that replicas advertise. Default: they are ignored.
 	RateLimiter RateLimiter
+	// Suspects learns which requests servers ended under. Default: nothing does.
+	Suspects Suspects
 	// WarmConnections is the number of connections kept open to an owned replica
 	// without work. More are opened when sub-requests wait, and closed after
 	// Timings.IdleTimeout without use. Default 0: one more than the slots, which
@@ -132,6 +134,9 @@
 	if o.LeavingServer == nil {
 		o.LeavingServer = func(wire.ReplicaID) bool { return false }
 	}
+	if o.Suspects == nil {
+		o.Suspects = noSuspects{}
+	}
 	if o.RateLimiter == nil {
 		o.RateLimiter = noRateLimits{}
 	}
--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -240,7 +240,7 @@
 	}
 	cancel()
 	if err != nil {
-		r.handleDialFailure(err)
+		r.handleDialFailure(err, dialStarted)
 		return
 	}
 	r.owner.metrics.connsOpened.Inc(1)
@@ -252,7 +252,7 @@
 	r.owner.metrics.connsClosed.Inc(1)
 }
 
-func (r *replica) handleDialFailure(err error) {
+func (r *replica) handleDialFailure(err error, dialStarted time.Time) {
 	var fx effects
 	now := time.Now()
 	timings := &r.owner.options.Timings
@@ -276,8 +276,12 @@
 		}
 		r.refuseAllQueued(wire.ReasonConnRefused, &fx)
 	}
+	ended := r.concludeEnding(err, dialStarted, now)
 	r.openMissingConns(now)
 	r.mu.Unlock()
+	if len(ended) > 0 {
+		r.owner.options.Suspects.ServerEnded(r.id, ended)
+	}
 	fx.apply(r.owner)
 }
 
@@ -290,6 +294,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.pool.dialingCount--
+	r.concludeEnding(nil, dialStarted, now)
 	if r.pool.openCount >= r.maxOpenConns() {
 		return false
 	}
--- a/internal/owner/replica.go
+++ b/internal/owner/replica.go
@@ -40,6 +40,10 @@
 	latency        latencyStats
 	pendingCancels []wire.SubRequestID // running sub-requests for which a cancel call is still to be sent
 	probeTimer     *time.Timer
+	// lostRuns are runs whose connection the server closed; checksEnding is set while a
+	// dial shows whether the server ended.
+	lostRuns     []lostRun
+	checksEnding bool
 }
 
 // configure applies the configuration to a new or a known replica.
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -102,6 +102,9 @@
 		fx.apply(r.owner)
 		return
 	}
+	if closedByServer(err) && !timedOut && !c.silent {
+		r.noteLostRun(a, c.runStarted, now)
+	}
 	mustReply := a.transition(stateSent, stateReplied)
 	if c.silent && reply.Outcome == wire.Unknown {
 		reply.Reason = wire.ReasonConnSilent
@@ -113,6 +116,9 @@
 	reply.Load, reply.Held = r.load(now), r.health.held
 	r.mu.Unlock()
 	r.owner.index.remove(a.sub.ID)
+	if reply.Outcome == wire.Answered {
+		r.owner.options.Suspects.Answered(a.sub.Key)
+	}
 	fx.apply(r.owner)
 	if mustReply {
 		r.owner.metrics.count(reply.Outcome, reply.Reason)
--- a/internal/owner/types.go
+++ b/internal/owner/types.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/arbutusgauge/arbutusgauge/internal/quarantine"
 	"github.com/arbutusgauge/arbutusgauge/internal/wire"
 )
 
@@ -26,6 +27,20 @@
 	Take(replica wire.ReplicaID) bool
 }
 
+// Suspects learns which requests servers ended under.
+type Suspects interface {
+	// ServerEnded reports that a server has ended while it ran requests.
+	ServerEnded(replica wire.ReplicaID, runs []quarantine.Run)
+	// Answered reports that a server answered a request.
+	Answered(key wire.RequestKey)
+}
+
+// noSuspects is a Suspects that ignores what it is told.
+type noSuspects struct{}
+
+func (noSuspects) ServerEnded(wire.ReplicaID, []quarantine.Run) {}
+func (noSuspects) Answered(wire.RequestKey)                     {}
+
 // noRateLimits is a RateLimiter that ignores all limits.
 type noRateLimits struct{}
 
--- /dev/null
+++ b/internal/quarantine/errors.go
@@ -0,0 +1,37 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/wire"
+)
+
+// RefusedError reports a request that is not sent to servers, because it crashed those
+// that ran it, or because another copy of it is being tried. It has not run.
+type RefusedError struct {
+	Key        wire.RequestKey
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return "request " + e.Key.String() + " has crashed backend servers; refused for " + e.RetryAfter.String()
+}
+
+// MessageError reports a malformed message of a peer.
+type MessageError struct{ Problem string }
+
+// Error implements error.
+func (e *MessageError) Error() string { return "malformed quarantine message: " + e.Problem }
+
+// PeerStatusError reports a peer that did not take records.
+type PeerStatusError struct{ Peer, Status string }
+
+// Error implements error.
+func (e *PeerStatusError) Error() string { return "peer " + e.Peer + " answered " + e.Status }
+
+// OptionError reports an unset field of Options.
+type OptionError struct{ Option string }
+
+// Error implements error.
+func (e *OptionError) Error() string { return "option " + e.Option + " of quarantine is required" }
--- a/internal/scatter/attempt.go
+++ b/internal/scatter/attempt.go
@@ -33,7 +33,8 @@
 	sentAt    time.Time
 }
 
-// sendFirstTries sends one sub-request per part, all in one batch.
+// sendFirstTries sends one sub-request per part, all in one batch unless a trial holds
+// them back.
 func (q *query) sendFirstTries() {
 	now := time.Now()
 	left := q.deadline.Sub(now)
@@ -41,13 +42,19 @@
 	subs := make([]wire.SubRequest, 0, n)
 	q.firstSeq = q.engine.lastSeq.Add(uint64(n)) - uint64(n) + 1
 	q.firstTries = make([]attempt, n)
+	for i := range q.firstTries {
+		q.firstTries[i].ended = true
+	}
+	if q.holdsBack() {
+		q.holdBackFirstTries(now)
+		return
+	}
 	hedgeAt := now.Add(q.hedgeDelay(now))
 	for i := range q.parts {
 		p := &q.parts[i]
 		// Attempts before a restart count towards MaxAttempts as well.
 		r := q.selectReplica(p, p.tried|q.excludedByMaxAttempts(p), now)
 		if r == nil || left < minAttemptTime {
-			q.firstTries[i].ended = true
 			q.handleNoReplica(p, now)
 			continue
 		}
@@ -86,6 +93,7 @@
 		TimeLeft:   q.attemptTimeLeft(now),
 		Repeatable: q.repeatable,
 		Payload:    q.request.Payload,
+		Key:        q.request.Key,
 	}
 }
 
@@ -148,6 +156,9 @@
 		return
 	}
 	q.schedule(p, now.Add(q.hedgeDelay(now)))
+	if q.holdsBack() {
+		return
+	}
 	r := q.selectReplica(p, p.running|q.excludedByMaxAttempts(p)|q.rateLimited(p), now)
 	if r == nil {
 		return
@@ -157,7 +168,7 @@
 		return
 	}
 	q.work.Hedges++
-	q.queueExtraAttempt(i, r, now)
+	q.queueExtraAttempt(i, r, true, now)
 }
 
 // retry sends a part without a running attempt to another replica. If the budget is
@@ -165,6 +176,9 @@
 // if it may not be sent again or too little time is left.
 func (q *query) retry(i int, now time.Time) {
 	p := &q.parts[i]
+	if !q.mayTry(p, now) {
+		return
+	}
 	if !p.mayResend || q.deadline.Sub(now) < minAttemptTime {
 		q.abandonPart(p, now)
 		return
@@ -174,16 +188,22 @@
 		q.handleNoReplica(p, now)
 		return
 	}
-	if !q.reserveRetry(p) {
+	isFirst := p.firstTryDue
+	switch {
+	case isFirst:
+		p.firstTryDue = false
+		q.work.FirstTries++
+	case !q.reserveRetry(p):
 		q.work.BudgetRefused++
 		q.schedule(p, now.Add(budgetRetryInterval))
 		return
+	default:
+		q.work.Retries++
 	}
-	q.work.Retries++
 	if q.repeatable {
 		q.schedule(p, now.Add(q.hedgeDelay(now)))
 	}
-	q.queueExtraAttempt(i, r, now)
+	q.queueExtraAttempt(i, r, !isFirst, now)
 }
 
 // reserveRetry takes a token for a retry from the budget and reports whether the
@@ -229,13 +249,14 @@
 	return wire.ReasonNoReplica
 }
 
-// queueExtraAttempt adds a hedge or a retry of part i to the outbox.
-func (q *query) queueExtraAttempt(i int, r *replicaState, now time.Time) {
+// queueExtraAttempt adds a hedge, a retry or a first try that was held back, of part i, to
+// the outbox. usedToken says whether it took a token of the budget.
+func (q *query) queueExtraAttempt(i int, r *replicaState, usedToken bool, now time.Time) {
 	seq := q.engine.lastSeq.Add(1)
 	if q.extraAttempts == nil {
 		q.extraAttempts = map[uint64]*attempt{}
 	}
-	q.extraAttempts[seq] = &attempt{partIndex: int32(i), replica: r, sentAt: now, unpinned: q.snapshot == 0, usedToken: true}
+	q.extraAttempts[seq] = &attempt{partIndex: int32(i), replica: r, sentAt: now, unpinned: q.snapshot == 0, usedToken: usedToken}
 	q.outbox = append(q.outbox, q.beginAttempt(&q.parts[i], r, seq, now))
 }
 
--- a/internal/scatter/options.go
+++ b/internal/scatter/options.go
@@ -42,6 +42,9 @@
 	EstimateWait func(wire.ReplicaID) (wait time.Duration, usable bool)
 	// RateLimited reports whether a replica advertises a rate limit. If nil, none does.
 	RateLimited func(wire.ReplicaID) bool
+	// Quarantined reports whether a request must not be sent any more, because servers
+	// have ended while they ran it. If nil, none is.
+	Quarantined func(wire.RequestKey) bool
 	// Delays are the one-way delays to the other data centres.
 	Delays map[string]time.Duration
 	// DefaultDelay is the one-way delay to a data centre that is not in Delays.
@@ -88,6 +91,9 @@
 	if o.RateLimited == nil {
 		o.RateLimited = func(wire.ReplicaID) bool { return false }
 	}
+	if o.Quarantined == nil {
+		o.Quarantined = func(wire.RequestKey) bool { return false }
+	}
 	if o.Random == nil {
 		o.Random = rand.NewPCG(rand.Uint64(), rand.Uint64())
 	}
--- a/internal/scatter/plan.go
+++ b/internal/scatter/plan.go
@@ -22,9 +22,12 @@
 	outstanding    int
 	reached        uint64    // bit per replica where an attempt runs or may have run; bounded by MaxAttempts
 	mayHaveRunOn   uint64    // bit per replica on which an ended attempt may have run
+	lostOn         uint64    // bit per replica that closed the connection of an attempt
 	rounds         int       // rounds in which all usable replicas were tried
 	nextAt         time.Time // time of the next hedge or retry; zero if none is due
 	awaitsRestart  bool      // no replica was usable; waits for a restart of the query
+	heldBack       bool      // a first try or a retry waits for the end of a trial
+	firstTryDue    bool      // the first try was held back by a trial
 	ended          bool      // complete or abandoned
 	mayResend      bool      // another sub-request may be sent
 	connectionLost bool      // an attempt ended by a broken connection
--- a/internal/scatter/query.go
+++ b/internal/scatter/query.go
@@ -44,8 +44,9 @@
 	openParts  int           // parts that haven't ended
 	wakeAt     time.Time     // next hedge or retry of any part; zero if none is due
 
-	firstSeq      uint64              // sequence number of firstTries[0]
-	firstTries    []attempt           // one per part, in the same order
+	firstSeq      uint64    // sequence number of firstTries[0]
+	firstTries    []attempt // one per part, in the same order
+	trial         trial
 	extraAttempts map[uint64]*attempt // hedges and retries by sequence number
 
 	answered   bool                // a reply said that a sub-request ran
@@ -87,6 +88,7 @@
 		return nil, badRequest("service \"" + request.Service + "\" has no search \"" + request.Search + "\"")
 	}
 	q.random.Seed(e.newSeed())
+	q.trial.active = request.Trial
 	q.repeatable = request.Repeatable && q.search.Repeatable
 	q.leastCoverage = max(request.LeastCoverage, q.search.LeastCoverage)
 	limit := q.search.Deadline.D()
--- a/internal/scatter/replies.go
+++ b/internal/scatter/replies.go
@@ -100,8 +100,12 @@
 func (q *query) processReply(a *attempt, reply *wire.Reply, now time.Time) {
 	q.loadSignals.MaxQueueWait = max(q.loadSignals.MaxQueueWait, reply.Load.QueueWait)
 	p := &q.parts[a.partIndex]
+	if reply.Outcome == wire.Unknown && reply.Reason == wire.ReasonConnLost {
+		p.lostOn |= a.replica.bit()
+		q.noteLost(now)
+	}
 	if reply.Outcome == wire.Answered {
-		q.answered = true
+		q.noteAnswer(now)
 		p.mayHaveRunOn |= a.replica.bit()
 		q.latency.record(now.Sub(a.sentAt))
 		if q.acceptReply(p, a, reply) {
--- a/internal/scatter/types.go
+++ b/internal/scatter/types.go
@@ -48,6 +48,11 @@
 	// that the search is repeatable too.
 	Repeatable bool
 	Payload    []byte
+	// Key identifies the request for Options.Quarantined.
+	Key wire.RequestKey
+	// Trial sends the request to one replica at a time until a server responds, because
+	// servers have ended while they ran it.
+	Trial bool
 }
 
 // Answer is the merged result of a query.
--- a/internal/wire/subrequest.go
+++ b/internal/wire/subrequest.go
@@ -58,6 +58,9 @@
 	TimeLeft   time.Duration
 	Repeatable bool
 	Payload    []byte
+	// Key identifies the caller's request, for the detection of requests that crash
+	// servers. It is not sent to other hosts.
+	Key RequestKey
 }
 
 // Row is one record of a replica's result.
