--- a/internal/backend/httpconn/endless_test.go
+++ b/internal/backend/httpconn/endless_test.go
@@ -304,3 +304,27 @@
 		g.Expect(errors.As(err, &lost)).To(BeTrue(), "%v", err)
 	})
 }
+
+// Guards against a response whose head breaks off anywhere, also between two fields, that
+// counts as a complete one with an empty or a short body.
+func TestHeadThatBreaksOffAnywhereIsLost(t *testing.T) {
+	for name, fields := range map[string]string{
+		"with a length":    "X-Attempt-Id: a\r\nX-Response-Stamp: s\r\nContent-Length: 4\r\n\r\n",
+		"without a length": "X-Attempt-Id: a\r\nX-Response-Stamp: s\r\nConnection: close\r\n\r\n",
+		"in chunks":        "X-Attempt-Id: a\r\nX-Response-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"without a body":   "X-Attempt-Id: a\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			head := "HTTP/1.1 200 OK\r\n" + fields
+			cuts := make(chan int, len(head))
+			addr := scriptServer(t, func(conn net.Conn) { _, _ = io.WriteString(conn, head[:<-cuts]) })
+			for cut := range len(head) {
+				cuts <- cut
+				_, err := openConn(t, addr, nil).Call(t.Context(), http.MethodGet, writeGet)
+				var lost *backend.LostError
+				g.Expect(errors.As(err, &lost)).To(BeTrue(), "after %q: %v", head[:cut], err)
+			}
+		})
+	}
+}
