--- a/internal/edge/constants.go
+++ b/internal/edge/constants.go
@@ -52,4 +52,9 @@
 	// shutdownReserve is the part of the time allowed for a stop that is reserved
 	// for running requests and the end of the process.
 	shutdownReserve = 1500 * time.Millisecond
+	// answerTimeAtStop is the part of shutdownReserve that running requests have to end
+	// by themselves, and shutdownTime the part after which the process ends: requests that
+	// still run are answered as failed between the two.
+	answerTimeAtStop = 600 * time.Millisecond
+	shutdownTime     = 900 * time.Millisecond
 )
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -42,6 +42,10 @@
 	scope        tally.Scope
 	closeMetrics func() error
 	stopping     atomic.Bool
+	// requestsEnd ends when requests must no longer run, because the process is about to
+	// end.
+	requestsEnd context.Context
+	endRequests context.CancelFunc
 	// extraLoad and extraBurst are the settings of the retry budget in use.
 	extraLoad  float64
 	extraBurst int
@@ -76,6 +80,7 @@
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(settings.MemoryBytes / memoryLimitDivisor)
 	h := &Host{settings: settings, log: logger, metrics: textmetrics.New(), extraLoad: settings.ExtraLoad, extraBurst: settings.ExtraBurst}
+	h.requestsEnd, h.endRequests = context.WithCancel(context.Background())
 	h.readBudget = readlimit.NewBudget(readlimit.BudgetOf(settings.MemoryBytes))
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Reporter: h.metrics, OmitCardinalityMetrics: true,
@@ -267,7 +272,7 @@
 	queries := aggregate.NewServer(h.gateway, h.isLeaving, h.readBudget, h.scope.SubScope("aggregate"), h.log)
 	peers.POST(aggregate.PathQuery, func(c echo.Context) error {
 		// echo's own writer would take the interim response for the final one.
-		queries.ServeHTTP(c.Response().Writer, c.Request())
+		endAtStop(h.requestsEnd, queries).ServeHTTP(c.Response().Writer, c.Request())
 		return nil
 	})
 	metrics := echo.New()
@@ -279,7 +284,7 @@
 		addr    string
 		handler http.Handler
 	}{
-		{h.settings.CallerAddr, h.callerHandler}, {h.settings.ReadyAddr, readiness}, {h.settings.PeerAddr, peers}, {h.settings.MetricsAddr, metrics},
+		{h.settings.CallerAddr, endAtStop(h.requestsEnd, h.callerHandler)}, {h.settings.ReadyAddr, readiness}, {h.settings.PeerAddr, peers}, {h.settings.MetricsAddr, metrics},
 	} {
 		if s.addr == "" {
 			continue
@@ -301,6 +306,7 @@
 
 // close closes the listeners and reports the last metrics.
 func (h *Host) close() {
+	h.endRequests()
 	for _, s := range h.servers {
 		_ = s.listener.Close()
 	}
@@ -354,13 +360,14 @@
 
 // shutDown fails the readiness check, waits until the load balancer has removed
 // this host, and finishes the running requests of callers and the queries that run
-// for peers.
+// for peers. Those that take too long are answered as failed.
 func (h *Host) shutDown() {
 	h.log.Info("stopping")
 	h.stopping.Store(true)
 	time.Sleep(max(0, h.settings.StopTimeout-shutdownReserve))
-	shutdownCtx, cancel := context.WithTimeout(context.Background(), shutdownReserve/2)
+	shutdownCtx, cancel := context.WithTimeout(context.Background(), shutdownTime)
 	defer cancel()
+	time.AfterFunc(answerTimeAtStop, h.endRequests)
 	var servers sync.WaitGroup
 	for _, s := range h.servers {
 		servers.Go(func() {
