--- a/internal/entry/metrics_docs_test.go
+++ b/internal/entry/metrics_docs_test.go
@@ -19,7 +19,7 @@
 )
 
 // metricScopes are the allowed metric scopes, each named after a package.
-var metricScopes = []string{"admit", "aggregate", "catalog", "front", "gateway", "member", "owner", "peer", "ratelimit", "rollout", "route", "scatter", "store"}
+var metricScopes = []string{"admit", "aggregate", "catalog", "front", "gateway", "member", "owner", "peer", "quarantine", "ratelimit", "replica", "rollout", "route", "scatter", "store"}
 
 var (
 	metricCall    = regexp.MustCompile(`(?:\.(?:Counter|Gauge|Timer|Histogram)|\bcounter)\(([^,)]*)`)
@@ -45,8 +45,12 @@
 	for _, file := range append(files, platformFiles...) {
 		scope := filepath.Base(filepath.Dir(file))
 		if scope == "platform" {
-			// The package's metrics belong to its client of the store.
+			// The package's metrics belong to its client of the store, or to what it
+			// reads of replicas.
 			scope = "store"
+			if filepath.Base(file) == "replica_state.go" {
+				scope = "replica"
+			}
 		}
 		if strings.HasSuffix(file, "_test.go") {
 			continue
--- a/internal/scatter/trial_test.go
+++ b/internal/scatter/trial_test.go
@@ -96,11 +96,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		var sent atomic.Int32
-		var sentBeforeAnswer int32
+		var sentBeforeAnswer atomic.Int32
 		sender := &fakeSender{}
 		sender.respond = func(sub wire.SubRequest) (time.Duration, wire.Reply, bool) {
 			if sent.Add(1) == 1 {
-				time.AfterFunc(9*time.Millisecond, func() { sentBeforeAnswer = sent.Load() })
+				time.AfterFunc(9*time.Millisecond, func() { sentBeforeAnswer.Store(sent.Load()) })
 				return 10 * time.Millisecond, answeredReply(sub), true
 			}
 			return 4 * time.Millisecond, answeredReply(sub), true
@@ -109,7 +109,7 @@
 		query.Trial = true
 		answer, err := testEngine(t, sender, nil).Run(t.Context(), query)
 		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(sentBeforeAnswer).To(BeEquivalentTo(1))
+		g.Expect(sentBeforeAnswer.Load()).To(BeEquivalentTo(1))
 		g.Expect(answer.Coverage.Fraction()).To(Equal(1.0))
 		g.Expect(answer.Work).To(Equal(Work{FirstTries: 20}), "what was held back takes nothing from the budget")
 		g.Expect(answer.Timing.Total).To(Equal(14 * time.Millisecond))
