--- a/internal/owner/estimate.go
+++ b/internal/owner/estimate.go
@@ -43,7 +43,8 @@
 // usable reports whether the replica can be reached and takes work, apart from its
 // rate limit. The caller holds mu.
 func (r *replica) usable() bool {
-	return !r.removed && !r.closed && !r.health.draining() && !r.pool.unreachable() && !r.dataCentre.silent.Load()
+	return !r.removed && !r.closed && !r.health.draining() && !r.pool.unreachable() && !r.dataCentre.silent.Load() &&
+		r.owner.RestOf(r.id) == 0
 }
 
 // estimatedLatency returns the recent mean latency, halved for each
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -47,6 +47,8 @@
 	serverRecord
 	serviceTime  time.Duration
 	fault        fault
+	leaving      bool          // replies say that the server leaves
+	rest         time.Duration // refusals say that the server wants no requests for so long
 	unsentCalls  int           // number of next Run calls that fail with faultUnsent
 	refuseDials  bool          // dials fail with ECONNREFUSED
 	dialsTimeOut bool          // dials fail with ETIMEDOUT, as behind a partition
@@ -205,6 +207,12 @@
 	for _, sub := range subs {
 		r := wire.Reply{ID: sub.ID, Replica: c.id, Outcome: wire.Answered, Snapshot: 5, Range: sub.Range}
 		r.Held = wire.SnapshotRange{Oldest: 1, Newest: 5}
+		c.server.set(func(s *fakeServer) {
+			r.Leaving = s.leaving
+			if fault == faultShed {
+				r.Rest = s.rest
+			}
+		})
 		switch fault {
 		case faultLostBefore, faultLostAfter:
 			return nil, c.lostError()
--- /dev/null
+++ b/internal/owner/notices.go
@@ -0,0 +1,102 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/wire"
+)
+
+const (
+	// leavingRetention is how long an incarnation that said that it leaves is remembered,
+	// so that an old entry of the store or an old state of a peer does not bring it back.
+	leavingRetention = 10 * time.Minute
+	// maxLeavingServers limits the incarnations that are remembered.
+	maxLeavingServers = 4096
+)
+
+// notices are what servers say of themselves to this host: that they leave, or want no
+// requests for a time. They are kept apart from the replicas, because a replica that
+// leaves the configuration may come back into it by mistake. The catalog's incarnations
+// tell a restarted server from the one before. Owner.noticesMu guards them.
+type notices struct {
+	leavingSince map[wire.ReplicaID]time.Duration
+	restUntil    map[wire.ReplicaID]time.Duration
+}
+
+func newNotices() notices {
+	return notices{leavingSince: map[wire.ReplicaID]time.Duration{}, restUntil: map[wire.ReplicaID]time.Duration{}}
+}
+
+// noteLeaving records that a server leaves and reports whether that is new.
+func (n *notices) noteLeaving(id wire.ReplicaID, now time.Duration) bool {
+	if _, known := n.leavingSince[id]; known {
+		return false
+	}
+	for other, since := range n.leavingSince {
+		if now-since > leavingRetention || len(n.leavingSince) >= maxLeavingServers {
+			delete(n.leavingSince, other)
+		}
+	}
+	n.leavingSince[id] = now
+	return true
+}
+
+// noteRest records that a server wants no requests for a time, and reports whether that
+// is longer than what it said before.
+func (n *notices) noteRest(id wire.ReplicaID, rest, now time.Duration) bool {
+	for other, until := range n.restUntil {
+		if until <= now {
+			delete(n.restUntil, other)
+		}
+	}
+	if until := now + rest; until > max(now, n.restUntil[id]) {
+		n.restUntil[id] = until
+		return true
+	}
+	return false
+}
+
+// hasLeft reports whether a server has said that it leaves.
+func (o *Owner) hasLeft(id wire.ReplicaID) bool {
+	o.noticesMu.Lock()
+	defer o.noticesMu.Unlock()
+	_, leaving := o.notices.leavingSince[id]
+	return leaving
+}
+
+// RestOf returns for how long a server wants no requests from this host; 0: it takes them.
+func (o *Owner) RestOf(id wire.ReplicaID) time.Duration {
+	if o.restingCount.Load() == 0 {
+		return 0
+	}
+	o.noticesMu.Lock()
+	defer o.noticesMu.Unlock()
+	until, resting := o.notices.restUntil[id]
+	if !resting {
+		return 0
+	}
+	return max(0, until-o.options.Clock())
+}
+
+// noteNotices records what a response says of the server. Queued sub-requests go to
+// other replicas. The caller holds the replica's mutex.
+func (r *replica) noteNotices(leaving bool, rest time.Duration, fx *effects) {
+	if !leaving && rest <= 0 {
+		return
+	}
+	o := r.owner
+	o.noticesMu.Lock()
+	now := o.options.Clock()
+	nowLeaving := leaving && o.notices.noteLeaving(r.id, now)
+	longer := rest > 0 && o.notices.noteRest(r.id, rest, now)
+	o.restingCount.Store(int32(len(o.notices.restUntil)))
+	o.noticesMu.Unlock()
+	if nowLeaving {
+		r.setLeaving(true, fx)
+	}
+	if longer {
+		fx.log("replica rests", logFields(r, "for", rest))
+		r.refuseAllQueued(wire.ReasonResting, fx)
+		r.beginSlowStart() // it gets a few sub-requests first when the time is over
+	}
+}
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -25,8 +25,11 @@
 	// KeepSilentRuns keeps a connection open while its running sub-request is waited
 	// for, however long the server is silent. The sender's hedges take its place.
 	KeepSilentRuns bool
-	Dialer         backend.Dialer // opens connections to replicas
-	Ownership      Ownership      // says which replicas this host owns
+	// Clock returns a monotonic time that goes on while the host is suspended; default:
+	// Go's monotonic clock, which may stop then.
+	Clock     func() time.Duration
+	Dialer    backend.Dialer // opens connections to replicas
+	Ownership Ownership      // says which replicas this host owns
 	// LeavingServer reports whether the host list names the backend server of a
 	// replica as leaving. Default: no server is leaving.
 	LeavingServer func(wire.ReplicaID) bool
@@ -134,6 +137,10 @@
 	if o.LeavingServer == nil {
 		o.LeavingServer = func(wire.ReplicaID) bool { return false }
 	}
+	if o.Clock == nil {
+		began := time.Now()
+		o.Clock = func() time.Duration { return time.Since(began) }
+	}
 	if o.Suspects == nil {
 		o.Suspects = noSuspects{}
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -23,6 +23,12 @@
 
 	dataCentres dataCentreRegistry
 
+	noticesMu sync.Mutex
+	notices   notices
+	// restingCount is the number of servers in notices that want no requests, for a check
+	// without noticesMu.
+	restingCount atomic.Int32
+
 	configMu      sync.Mutex
 	closed        bool
 	knownReplicas map[wire.ReplicaID]*replica // includes removed replicas that still have connections
@@ -54,6 +60,7 @@
 		metrics:       newMetrics(options.Scope),
 		index:         newAttemptIndex(),
 		knownReplicas: map[wire.ReplicaID]*replica{},
+		notices:       newNotices(),
 		dataCentres:   dataCentreRegistry{byName: map[string]*dataCentre{}},
 		attemptsDone:  make(chan struct{}, 1),
 	}
--- a/internal/owner/replica.go
+++ b/internal/owner/replica.go
@@ -207,6 +207,8 @@
 		return wire.ReasonDeadlineExpired
 	case r.health.draining():
 		return wire.ReasonDraining
+	case r.owner.RestOf(r.id) > 0:
+		return wire.ReasonResting
 	case r.health.ejectedUntil.After(now):
 		return wire.ReasonEjected
 	case r.pool.unreachable() && (r.owned || now.Before(r.pool.redialAfter)):
@@ -356,7 +358,7 @@
 		return
 	}
 	owned := r.owner.options.Ownership.Owns(service, shard, r.id)
-	leaving := r.owner.options.LeavingServer(r.id)
+	leaving := r.owner.hasLeft(r.id) || r.owner.options.LeavingServer(r.id)
 	var fx effects
 	r.mu.Lock()
 	if !r.removed && !r.closed {
--- a/internal/scatter/errors.go
+++ b/internal/scatter/errors.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/arbutusgauge/arbutusgauge/internal/wire"
 )
@@ -19,7 +20,9 @@
 	// why none was sent.
 	Reason wire.Reason
 	// Detail says why the query can't be planned; it may be empty.
-	Detail      string
+	Detail string
+	// RetryAfter is the time after which the query may be run; 0: it is not known.
+	RetryAfter  time.Duration
 	Coverage    Coverage
 	Work        Work
 	LoadSignals LoadSignals
--- a/internal/scatter/query.go
+++ b/internal/scatter/query.go
@@ -114,7 +114,11 @@
 		return nil, &NotRunError{Reason: ReasonNoShard, Detail: "the shards hold too few of the requested ledgers to reach the least coverage", Coverage: q.coverage()}
 	}
 	if reason := q.leastCoverageObstacle(); reason != wire.ReasonNone {
-		return nil, &NotRunError{Reason: reason, Coverage: q.coverage()}
+		notRun := &NotRunError{Reason: reason, Coverage: q.coverage()}
+		if reason == wire.ReasonResting {
+			notRun.RetryAfter = q.timeToRest()
+		}
+		return nil, notRun
 	}
 	return q, nil
 }
--- a/internal/scatter/selection.go
+++ b/internal/scatter/selection.go
@@ -42,6 +42,7 @@
 		return wire.ReasonNone
 	}
 	var ledgers uint64
+	resting := false
 	obstacle := wire.ReasonNoReplica
 	for i := range q.parts {
 		switch {
@@ -49,14 +50,42 @@
 			ledgers += q.parts[i].needed.Len()
 		case q.unreachableReason(&q.parts[i]) == wire.ReasonRateLimited:
 			obstacle = wire.ReasonRateLimited
+		case q.restOfShard(&q.parts[i]) > 0:
+			resting = true
 		}
 	}
-	if ledgers > 0 && q.reachesLeastCoverage(ledgers) {
+	switch {
+	case ledgers > 0 && q.reachesLeastCoverage(ledgers):
 		return wire.ReasonNone
+	case resting:
+		return wire.ReasonResting
 	}
 	return obstacle
 }
 
+// restOfShard returns the time after which a replica of a part takes requests again, if
+// this host can use none of them and one wants no requests for a time; else 0.
+func (q *query) restOfShard(p *part) time.Duration {
+	var least time.Duration
+	for _, r := range p.shard.replicas {
+		if rest := q.engine.options.RestOf(r.id); rest > 0 && (least == 0 || rest < least) {
+			least = rest
+		}
+	}
+	return least
+}
+
+// timeToRest returns the time after which all shards that rest now have a replica again.
+func (q *query) timeToRest() time.Duration {
+	var longest time.Duration
+	for i := range q.parts {
+		if p := &q.parts[i]; !slices.ContainsFunc(p.shard.replicas, q.isReachable) {
+			longest = max(longest, q.restOfShard(p))
+		}
+	}
+	return longest
+}
+
 // selectReplica chooses a replica for an attempt of a part: of two random
 // candidates of the best fitness the one with the lower score. exclude holds the
 // bits of the replicas to leave out. It returns nil if no other replica is usable.
