--- a/internal/aggregate/aggregate_test.go
+++ b/internal/aggregate/aggregate_test.go
@@ -61,7 +61,16 @@
 		}
 		peers = append(peers, members)
 	}
-	return New(Options{Peers: func() [][]Peer { return peers }})
+	return New(Options{Peers: func() [][]Peer { return peers }, AcceptTimeout: testAcceptTimeout})
+}
+
+// testAcceptTimeout replaces the default, within which the goroutines of a test that runs
+// in real time do not always get a processor beside other load.
+const testAcceptTimeout = 2 * time.Second
+
+// Guards against a host that waits longer for a frozen peer than a query can bear.
+func TestDefaultAcceptTimeout(t *testing.T) {
+	NewWithT(t).Expect(New(Options{}).options.AcceptTimeout).To(Equal(60 * time.Millisecond))
 }
 
 func newTestQuery(id string) *gateway.ForwardedQuery {
@@ -125,6 +134,7 @@
 func TestLateAcceptanceRunsNothing(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
+	const acceptTimeout = testAcceptTimeout / 4
 	runner := &fakeRunner{version: 3}
 	server := NewServer(runner, notLeaving, nil, tally.NoopScope, &log.Logger{Handler: discard.Default})
 	slow := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -133,6 +143,7 @@
 	}))
 	defer slow.Close()
 	c := newTestClient([]string{strings.TrimPrefix(slow.URL, "http://")})
+	c.options.AcceptTimeout = acceptTimeout
 	began := time.Now()
 	_, err := c.Forward(t.Context(), newTestQuery("x"))
 	var notForwarded *gateway.NotForwardedError
@@ -199,8 +210,15 @@
 	g := NewWithT(t)
 	runner := &fakeRunner{version: 3, runTime: 5 * time.Second}
 	c := newTestClient([]string{serveRunner(t, runner)})
-	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
+	go func() {
+		for runner.runs.Load() == 0 && ctx.Err() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(50 * time.Millisecond)
+		cancel()
+	}()
 	_, err := c.Forward(ctx, newTestQuery("x"))
 	g.Expect(err).To(HaveOccurred())
 	g.Eventually(runner.cancelledRuns.Load, "300ms").Should(BeEquivalentTo(1))
--- a/internal/aggregate/client.go
+++ b/internal/aggregate/client.go
@@ -29,9 +29,10 @@
 
 // New returns a client without connections.
 func New(options Options) *Client {
-	dialer := &net.Dialer{Timeout: acceptTimeout}
+	options = options.withDefaults()
+	dialer := &net.Dialer{Timeout: options.AcceptTimeout}
 	return &Client{
-		options: options.withDefaults(),
+		options: options,
 		http: &http.Client{Transport: &http.Transport{
 			DialContext:         dialer.DialContext,
 			DisableCompression:  true,
@@ -119,7 +120,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	offer := newOffer(encoded, func(err error) { cancel(err) })
+	offer := newOffer(encoded, c.options.AcceptTimeout, func(err error) { cancel(err) })
 	defer offer.close()
 	// The transport waits for the end of the request body even if the request is
 	// cancelled, so the body is closed then.
--- a/internal/aggregate/offer.go
+++ b/internal/aggregate/offer.go
@@ -36,13 +36,13 @@
 )
 
 // newOffer starts the offer of a query. onTimeout is called with
-// *AcceptTimeoutError if the peer does not accept it within acceptTimeout.
-func newOffer(query []byte, onTimeout func(error)) *pendingOffer {
+// *AcceptTimeoutError if the peer does not accept it within timeout.
+func newOffer(query []byte, timeout time.Duration, onTimeout func(error)) *pendingOffer {
 	o := &pendingOffer{}
 	o.body, o.writer = io.Pipe()
-	o.acceptTimer = time.AfterFunc(acceptTimeout, func() {
+	o.acceptTimer = time.AfterFunc(timeout, func() {
 		if o.changeState(offerWithdrawn) {
-			onTimeout(&AcceptTimeoutError{})
+			onTimeout(&AcceptTimeoutError{Timeout: timeout})
 		}
 	})
 	go func() {
--- a/internal/aggregate/types.go
+++ b/internal/aggregate/types.go
@@ -27,9 +27,8 @@
 const PathQuery = "/v1/query"
 
 const (
-	// acceptTimeout limits the time until a peer accepts a query. A frozen or
-	// overloaded peer does not accept it in time.
-	acceptTimeout = 60 * time.Millisecond
+	// defaultAcceptTimeout is the default of Options.AcceptTimeout.
+	defaultAcceptTimeout = 60 * time.Millisecond
 	// avoidDuration is how long a peer gets no query after a query failed there.
 	avoidDuration = 2 * time.Second
 	// maxRunningQueries limits the queries that this host runs for peers at the
@@ -41,7 +40,7 @@
 	maxReplyBytes     = 8 << 20
 	maxReplyHeadBytes = 16 << 10
 	// offerTimeout limits how long a peer may take to send its query, and to
-	// confirm it after its acceptance. A sender waits acceptTimeout at most.
+	// confirm it after its acceptance. A sender waits for its AcceptTimeout at most.
 	offerTimeout = time.Second
 	// hopTime is the time that a query and its answer need between two hosts of a
 	// data centre. It counts against the latency goal, as twice Peer.Delay does.
@@ -73,14 +72,20 @@
 type Options struct {
 	// Peers returns the hosts to forward queries to, in groups in order of
 	// preference. Without any this host answers all queries itself.
-	Peers  func() [][]Peer
-	Budget *readlimit.Budget // memory for replies being read; default: unlimited
-	Scope  tally.Scope       // default: no metrics
-	Logger log.Interface     // default: no log
+	Peers func() [][]Peer
+	// AcceptTimeout limits the time until a peer accepts a query, which a frozen or
+	// overloaded peer does not do in time; default 60 ms.
+	AcceptTimeout time.Duration
+	Budget        *readlimit.Budget // memory for replies being read; default: unlimited
+	Scope         tally.Scope       // default: no metrics
+	Logger        log.Interface     // default: no log
 }
 
 // withDefaults returns the options with defaults for unset fields.
 func (o Options) withDefaults() Options {
+	if o.AcceptTimeout <= 0 {
+		o.AcceptTimeout = defaultAcceptTimeout
+	}
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
@@ -113,10 +118,10 @@
 func (*QueryError) Error() string { return "query names no request or no routing table" }
 
 // AcceptTimeoutError reports a peer that did not accept a query within
-// acceptTimeout.
-type AcceptTimeoutError struct{}
+// Options.AcceptTimeout.
+type AcceptTimeoutError struct{ Timeout time.Duration }
 
 // Error implements error.
-func (*AcceptTimeoutError) Error() string {
-	return "peer did not accept the query within " + acceptTimeout.String()
+func (e *AcceptTimeoutError) Error() string {
+	return "peer did not accept the query within " + e.Timeout.String()
 }
