--- a/internal/backend/types.go
+++ b/internal/backend/types.go
@@ -17,7 +17,7 @@
 	InFlight uint32             // sub-requests in progress
 	Held     wire.SnapshotRange // snapshots that it can serve
 	Leaving  bool               // the server leaves for good
-	Rest     time.Duration      // for so long it wants no requests from this host; 0: it does not say so
+	Backoff  time.Duration      // for so long it wants no requests from this host; 0: it does not say so
 }
 
 // Dialer opens connections to replicas.
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -200,7 +200,7 @@
 		MinHedgeDelay: minHedgeDelay,
 		EstimateWait:  h.owner.EstimateWait,
 		RateLimited:   h.rateLimits.Limited,
-		RestOf:        h.owner.RestOf,
+		BackoffOf:     h.owner.BackoffOf,
 		Quarantined:   h.quarantine.Quarantined,
 		Scope:         h.scope.SubScope("scatter"),
 		Logger:        h.log,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -151,7 +151,7 @@
 		return nil, err
 	}
 	defer admission.Done()
-	query.Trial = admission.Trial
+	query.ServersEnded = admission.ServersEnded
 	g.preparePermits(ctx, view.Config.Services[result.Service], &query)
 	engineAnswer, err := g.options.Engine.Run(ctx, query)
 	if err != nil {
--- a/internal/owner/health.go
+++ b/internal/owner/health.go
@@ -123,7 +123,7 @@
 	if reply.Held.Newest != 0 {
 		r.health.held = reply.Held
 	}
-	r.noteNotices(reply.Leaving, reply.Rest, fx)
+	r.noteNotices(reply.Leaving, reply.Backoff, fx)
 	r.health.reportsInFlight = r.health.reportsInFlight || reply.Load.InFlight > 0
 	r.setCold(reply.Load.State == wire.ReplicaCold)
 	if reply.Outcome == wire.NotRun && reply.Reason == wire.ReasonDraining || reply.Load.State == wire.ReplicaDraining {
@@ -213,7 +213,7 @@
 	if status.Held.Newest != 0 {
 		h.held = status.Held
 	}
-	r.noteNotices(status.Leaving, status.Rest, fx)
+	r.noteNotices(status.Leaving, status.Backoff, fx)
 	h.reportsInFlight = h.reportsInFlight || status.InFlight > 0
 	r.setCold(status.Cold)
 	if status.Draining {
@@ -303,7 +303,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
-	case r.removed || r.closed || now.Before(r.pool.redialAfter) || r.health.leaving || r.owner.RestOf(r.id) > 0:
+	case r.removed || r.closed || now.Before(r.pool.redialAfter) || r.health.leaving || r.owner.BackoffOf(r.id) > 0:
 		return false
 	case len(r.pool.idle) > 0:
 		r.probeIdleConn()
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -46,7 +46,7 @@
 	for _, reason := range []wire.Reason{
 		wire.ReasonNone, wire.ReasonBadRequest, wire.ReasonQueueFull, wire.ReasonDeadlineTooShort,
 		wire.ReasonDeadlineExpired, wire.ReasonCancelled, wire.ReasonDraining, wire.ReasonEjected,
-		wire.ReasonShed, wire.ReasonRateLimited, wire.ReasonResting, wire.ReasonConnRefused, wire.ReasonConnLost, wire.ReasonConnSilent,
+		wire.ReasonShed, wire.ReasonRateLimited, wire.ReasonBackoff, wire.ReasonConnRefused, wire.ReasonConnLost, wire.ReasonConnSilent,
 		wire.ReasonTimeout, wire.ReasonTooLarge, wire.ReasonSnapshotNotHeld, wire.ReasonRepartitioned,
 		wire.ReasonUnknownReplica, wire.ReasonServerError,
 	} {
--- a/internal/owner/notices.go
+++ b/internal/owner/notices.go
@@ -20,11 +20,11 @@
 // tell a restarted server from the one before. Owner.noticesMu guards them.
 type notices struct {
 	leavingSince map[wire.ReplicaID]time.Duration
-	restUntil    map[wire.ReplicaID]time.Duration
+	backoffUntil map[wire.ReplicaID]time.Duration
 }
 
 func newNotices() notices {
-	return notices{leavingSince: map[wire.ReplicaID]time.Duration{}, restUntil: map[wire.ReplicaID]time.Duration{}}
+	return notices{leavingSince: map[wire.ReplicaID]time.Duration{}, backoffUntil: map[wire.ReplicaID]time.Duration{}}
 }
 
 // noteLeaving records that a server leaves and reports whether that is new.
@@ -41,16 +41,16 @@
 	return true
 }
 
-// noteRest records that a server wants no requests for a time, and reports whether that
+// noteBackoff records that a server wants no requests for a time, and reports whether that
 // is longer than what it said before.
-func (n *notices) noteRest(id wire.ReplicaID, rest, now time.Duration) bool {
-	for other, until := range n.restUntil {
+func (n *notices) noteBackoff(id wire.ReplicaID, backoff, now time.Duration) bool {
+	for other, until := range n.backoffUntil {
 		if until <= now {
-			delete(n.restUntil, other)
+			delete(n.backoffUntil, other)
 		}
 	}
-	if until := now + rest; until > max(now, n.restUntil[id]) {
-		n.restUntil[id] = until
+	if until := now + backoff; until > max(now, n.backoffUntil[id]) {
+		n.backoffUntil[id] = until
 		return true
 	}
 	return false
@@ -64,15 +64,15 @@
 	return leaving
 }
 
-// RestOf returns for how long a server wants no requests from this host; 0: it takes them.
-func (o *Owner) RestOf(id wire.ReplicaID) time.Duration {
-	if o.restingCount.Load() == 0 {
+// BackoffOf returns for how long a server wants no requests from this host; 0: it takes them.
+func (o *Owner) BackoffOf(id wire.ReplicaID) time.Duration {
+	if o.backoffCount.Load() == 0 {
 		return 0
 	}
 	o.noticesMu.Lock()
 	defer o.noticesMu.Unlock()
-	until, resting := o.notices.restUntil[id]
-	if !resting {
+	until, backsOff := o.notices.backoffUntil[id]
+	if !backsOff {
 		return 0
 	}
 	return max(0, until-o.options.Clock())
@@ -80,23 +80,23 @@
 
 // noteNotices records what a response says of the server. Queued sub-requests go to
 // other replicas. The caller holds the replica's mutex.
-func (r *replica) noteNotices(leaving bool, rest time.Duration, fx *effects) {
-	if !leaving && rest <= 0 {
+func (r *replica) noteNotices(leaving bool, backoff time.Duration, fx *effects) {
+	if !leaving && backoff <= 0 {
 		return
 	}
 	o := r.owner
 	o.noticesMu.Lock()
 	now := o.options.Clock()
 	nowLeaving := leaving && o.notices.noteLeaving(r.id, now)
-	longer := rest > 0 && o.notices.noteRest(r.id, rest, now)
-	o.restingCount.Store(int32(len(o.notices.restUntil)))
+	longer := backoff > 0 && o.notices.noteBackoff(r.id, backoff, now)
+	o.backoffCount.Store(int32(len(o.notices.backoffUntil)))
 	o.noticesMu.Unlock()
 	if nowLeaving {
 		r.setLeaving(true, fx)
 	}
 	if longer {
-		fx.log("replica rests", logFields(r, "for", rest))
-		r.refuseAllQueued(wire.ReasonResting, fx)
+		fx.log("replica asked to back off", logFields(r, "for", backoff))
+		r.refuseAllQueued(wire.ReasonBackoff, fx)
 		r.beginSlowStart() // it gets a few sub-requests first when the time is over
 	}
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -25,9 +25,9 @@
 
 	noticesMu sync.Mutex
 	notices   notices
-	// restingCount is the number of servers in notices that want no requests, for a check
+	// backoffCount is the number of servers in notices that want no requests, for a check
 	// without noticesMu.
-	restingCount atomic.Int32
+	backoffCount atomic.Int32
 
 	configMu      sync.Mutex
 	closed        bool
--- a/internal/owner/replica.go
+++ b/internal/owner/replica.go
@@ -207,8 +207,8 @@
 		return wire.ReasonDeadlineExpired
 	case r.health.draining():
 		return wire.ReasonDraining
-	case r.owner.RestOf(r.id) > 0:
-		return wire.ReasonResting
+	case r.owner.BackoffOf(r.id) > 0:
+		return wire.ReasonBackoff
 	case r.health.ejectedUntil.After(now):
 		return wire.ReasonEjected
 	case r.pool.unreachable() && (r.owned || now.Before(r.pool.redialAfter)):
--- a/internal/quarantine/assess.go
+++ b/internal/quarantine/assess.go
@@ -38,15 +38,15 @@
 		sufficient := suffices(unexplained)
 		last := known.lastEnding()
 		switch {
-		case sufficient && known.convict(last):
+		case sufficient && known.quarantine(last):
 			known.own = true
 			r.noteChange(key, known, sourceOwn, "")
-		case known.convicted && len(unexplained) < len(known.endings) && !sufficient:
+		case known.quarantined && len(unexplained) < len(known.endings) && !sufficient:
 			known.clear(now)
 			known.own = true
 			r.noteChange(key, known, sourceOwn, "")
 		}
-		if known.convicted {
+		if known.quarantined {
 			for _, e := range known.endings {
 				explained[e.replica] = true
 			}
--- a/internal/quarantine/messages.go
+++ b/internal/quarantine/messages.go
@@ -85,9 +85,9 @@
 
 // known returns the record in the form for another host.
 func (r *record) known(key wire.RequestKey, now time.Duration) Known {
-	k := Known{Key: key, Cleared: r.cleared, Quarantined: r.convicted}
-	if r.convicted {
-		k.QuarantinedAge = now - r.convictedAt
+	k := Known{Key: key, Cleared: r.cleared, Quarantined: r.quarantined}
+	if r.quarantined {
+		k.QuarantinedAge = now - r.quarantinedAt
 	}
 	if r.cleared {
 		k.ClearedAge = now - r.clearedAt
@@ -138,7 +138,7 @@
 			changed, replica = true, e.Replica
 		}
 	}
-	if told.Quarantined && known.convict(now-told.QuarantinedAge) {
+	if told.Quarantined && known.quarantine(now-told.QuarantinedAge) {
 		changed = true
 	}
 	if changed {
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -5,9 +5,9 @@
 // that comes again is tried on one server first. An answer clears it; when enough servers
 // have ended under it and none has answered, it is quarantined: hosts refuse it without
 // sending it on. Other requests that ran on the servers that a quarantined request ended
-// are not blamed for these. What one host observes, it tells
-// the leaders, and hosts learn it with the state of the leader that they follow, so that
-// the verdict holds on all hosts, restarted ones too.
+// are not blamed for these. What one host observes, it tells the leaders, and hosts learn
+// it with the state of the leader that they follow, so that a quarantine holds on all
+// hosts, restarted ones too.
 package quarantine
 
 import (
@@ -75,10 +75,10 @@
 	endings   []ending // of different replicas, maxEndings at most
 	clearedAt time.Duration
 	cleared   bool
-	// convicted is set once the endings sufficed for a quarantine, on this host or on
-	// another one, most recently at convictedAt.
-	convicted   bool
-	convictedAt time.Duration
+	// quarantined is set once the endings sufficed for a quarantine, on this host or on
+	// another one, most recently at quarantinedAt.
+	quarantined   bool
+	quarantinedAt time.Duration
 	// unexplained is the number of endings that no quarantined request explains; see
 	// assess.
 	unexplained int
@@ -103,15 +103,15 @@
 
 // quarantinedFor returns the remaining time of the quarantine; 0: not quarantined.
 func (r *record) quarantinedFor(now time.Duration) time.Duration {
-	if !r.convicted {
+	if !r.quarantined {
 		return 0
 	}
-	return max(0, r.convictedAt+Duration-now)
+	return max(0, r.quarantinedAt+Duration-now)
 }
 
 // isSuspect reports whether the request must be tried on one server first.
 func (r *record) isSuspect(now time.Duration) bool {
-	return r.convicted || r.unexplained > 0 && now-r.lastEnding() < suspicionTime
+	return r.quarantined || r.unexplained > 0 && now-r.lastEnding() < suspicionTime
 }
 
 // add adds an ending and reports whether it changed the record.
@@ -141,19 +141,19 @@
 // record.
 func (r *record) clear(at time.Duration) bool {
 	kept := slices.DeleteFunc(slices.Clone(r.endings), func(e ending) bool { return e.began <= at })
-	changed := len(kept) != len(r.endings) || r.convicted
+	changed := len(kept) != len(r.endings) || r.quarantined
 	r.endings, r.cleared, r.clearedAt = kept, true, max(at, r.clearedAt)
-	r.convicted = false
+	r.quarantined = false
 	return changed
 }
 
-// convict quarantines the request from a time on, and reports whether that changed the
+// quarantine quarantines the request from a time on, and reports whether that changed the
 // record. An answer after that time outweighs it.
-func (r *record) convict(at time.Duration) bool {
-	if r.cleared && at <= r.clearedAt || r.convicted && at-r.convictedAt < minExtension {
+func (r *record) quarantine(at time.Duration) bool {
+	if r.cleared && at <= r.clearedAt || r.quarantined && at-r.quarantinedAt < minExtension {
 		return false
 	}
-	r.convicted, r.convictedAt = true, at
+	r.quarantined, r.quarantinedAt = true, at
 	return true
 }
 
@@ -170,9 +170,9 @@
 
 // Admission says how an admitted request may be sent to servers.
 type Admission struct {
-	// Trial is set if the request must be sent to one server at a time until one
-	// responds.
-	Trial bool
+	// ServersEnded is the number of servers that have ended while they ran the request.
+	// If it is not 0, the request must be sent to one server at a time until one answers.
+	ServersEnded int
 	// Done must be called at the end of the request.
 	Done func()
 }
@@ -193,9 +193,9 @@
 		return admitted, nil
 	case known.quarantinedFor(now) > 0:
 		return Admission{}, r.refuse(key, known.quarantinedFor(now))
-	case known.unexplained == 1 && !known.convicted:
+	case known.unexplained == 1 && !known.quarantined:
 		// One server may have ended for any reason.
-		admitted.Trial = true
+		admitted.ServersEnded = 1
 		return admitted, nil
 	case now < known.trialUntil:
 		return Admission{}, r.refuse(key, trialRetryAfter)
@@ -203,7 +203,7 @@
 	r.metrics.trials.Inc(1)
 	until := now + trialTimeout
 	known.trialUntil = until
-	return Admission{Trial: true, Done: func() { r.endTrial(key, until) }}, nil
+	return Admission{ServersEnded: max(1, known.unexplained), Done: func() { r.endTrial(key, until) }}, nil
 }
 
 // Check returns *RefusedError for a quarantined request.
@@ -312,7 +312,7 @@
 }
 
 // evict drops records that are no longer needed and, if there are still maxRecords, the
-// one that is quarantined for the shortest time from now on. The caller holds mu.
+// one that changed longest ago; a quarantined one only if all are. The caller holds mu.
 func (r *Registry) evict() {
 	now := r.options.Clock()
 	var first wire.RequestKey
--- a/internal/quarantine/tell.go
+++ b/internal/quarantine/tell.go
@@ -113,7 +113,7 @@
 // request to a server of each shard at once.
 func (r *record) urgency() urgency {
 	switch {
-	case r.convicted:
+	case r.quarantined:
 		return urgencyQuarantined
 	case r.unexplained >= minEndings:
 		return urgencySuspected
--- a/internal/scatter/options.go
+++ b/internal/scatter/options.go
@@ -42,9 +42,9 @@
 	EstimateWait func(wire.ReplicaID) (wait time.Duration, usable bool)
 	// RateLimited reports whether a replica advertises a rate limit. If nil, none does.
 	RateLimited func(wire.ReplicaID) bool
-	// RestOf returns for how long a replica wants no requests from this host; 0: it takes
+	// BackoffOf returns for how long a replica wants no requests from this host; 0: it takes
 	// them. If nil, all replicas do.
-	RestOf func(wire.ReplicaID) time.Duration
+	BackoffOf func(wire.ReplicaID) time.Duration
 	// Quarantined reports whether a request must not be sent any more, because servers
 	// have ended while they ran it. If nil, none is.
 	Quarantined func(wire.RequestKey) bool
@@ -94,8 +94,8 @@
 	if o.RateLimited == nil {
 		o.RateLimited = func(wire.ReplicaID) bool { return false }
 	}
-	if o.RestOf == nil {
-		o.RestOf = func(wire.ReplicaID) time.Duration { return 0 }
+	if o.BackoffOf == nil {
+		o.BackoffOf = func(wire.ReplicaID) time.Duration { return 0 }
 	}
 	if o.Quarantined == nil {
 		o.Quarantined = func(wire.RequestKey) bool { return false }
--- a/internal/scatter/query.go
+++ b/internal/scatter/query.go
@@ -88,7 +88,7 @@
 		return nil, badRequest("service \"" + request.Service + "\" has no search \"" + request.Search + "\"")
 	}
 	q.random.Seed(e.newSeed())
-	q.trial.active = request.Trial
+	q.trial.active, q.trial.losses = request.ServersEnded > 0, request.ServersEnded
 	q.repeatable = request.Repeatable && q.search.Repeatable
 	q.leastCoverage = max(request.LeastCoverage, q.search.LeastCoverage)
 	limit := q.search.Deadline.D()
@@ -115,8 +115,8 @@
 	}
 	if reason := q.leastCoverageObstacle(); reason != wire.ReasonNone {
 		notRun := &NotRunError{Reason: reason, Coverage: q.coverage()}
-		if reason == wire.ReasonResting {
-			notRun.RetryAfter = q.timeToRest()
+		if reason == wire.ReasonBackoff {
+			notRun.RetryAfter = q.timeToBackoffEnd()
 		}
 		return nil, notRun
 	}
--- a/internal/scatter/replies.go
+++ b/internal/scatter/replies.go
@@ -201,7 +201,7 @@
 			// that have not refused.
 			a.replica.addPenalty(now)
 		}
-	case wire.ReasonQueueFull, wire.ReasonRateLimited, wire.ReasonResting, wire.ReasonDeadlineTooShort, wire.ReasonDeadlineExpired:
+	case wire.ReasonQueueFull, wire.ReasonRateLimited, wire.ReasonBackoff, wire.ReasonDeadlineTooShort, wire.ReasonDeadlineExpired:
 		q.loadSignals.Refused = true
 	case wire.ReasonDraining, wire.ReasonCancelled:
 	default:
--- a/internal/scatter/selection.go
+++ b/internal/scatter/selection.go
@@ -42,7 +42,7 @@
 		return wire.ReasonNone
 	}
 	var ledgers uint64
-	resting := false
+	backsOff := false
 	obstacle := wire.ReasonNoReplica
 	for i := range q.parts {
 		switch {
@@ -50,37 +50,38 @@
 			ledgers += q.parts[i].needed.Len()
 		case q.unreachableReason(&q.parts[i]) == wire.ReasonRateLimited:
 			obstacle = wire.ReasonRateLimited
-		case q.restOfShard(&q.parts[i]) > 0:
-			resting = true
+		case q.backoffOfShard(&q.parts[i]) > 0:
+			backsOff = true
 		}
 	}
 	switch {
 	case ledgers > 0 && q.reachesLeastCoverage(ledgers):
 		return wire.ReasonNone
-	case resting:
-		return wire.ReasonResting
+	case backsOff:
+		return wire.ReasonBackoff
 	}
 	return obstacle
 }
 
-// restOfShard returns the time after which a replica of a part takes requests again, if
+// backoffOfShard returns the time after which a replica of a part takes requests again, if
 // this host can use none of them and one wants no requests for a time; else 0.
-func (q *query) restOfShard(p *part) time.Duration {
+func (q *query) backoffOfShard(p *part) time.Duration {
 	var least time.Duration
 	for _, r := range p.shard.replicas {
-		if rest := q.engine.options.RestOf(r.id); rest > 0 && (least == 0 || rest < least) {
-			least = rest
+		if backoff := q.engine.options.BackoffOf(r.id); backoff > 0 && (least == 0 || backoff < least) {
+			least = backoff
 		}
 	}
 	return least
 }
 
-// timeToRest returns the time after which all shards that rest now have a replica again.
-func (q *query) timeToRest() time.Duration {
+// timeToBackoffEnd returns the time after which all shards whose replicas ask to back off have
+// a usable one again.
+func (q *query) timeToBackoffEnd() time.Duration {
 	var longest time.Duration
 	for i := range q.parts {
 		if p := &q.parts[i]; !slices.ContainsFunc(p.shard.replicas, q.isReachable) {
-			longest = max(longest, q.restOfShard(p))
+			longest = max(longest, q.backoffOfShard(p))
 		}
 	}
 	return longest
--- a/internal/scatter/types.go
+++ b/internal/scatter/types.go
@@ -50,9 +50,9 @@
 	Payload    []byte
 	// Key identifies the request for Options.Quarantined.
 	Key wire.RequestKey
-	// Trial sends the request to one replica at a time until a server responds, because
-	// servers have ended while they ran it.
-	Trial bool
+	// ServersEnded is the number of servers that ended while they ran the request before.
+	// If it is not 0, the request is sent to one replica at a time until a server answers.
+	ServersEnded int
 }
 
 // Answer is the merged result of a query.
--- a/internal/wire/outcome.go
+++ b/internal/wire/outcome.go
@@ -42,7 +42,7 @@
 	ReasonEjected          Reason = "ejected"            // the owner has ejected the replica after repeated failures
 	ReasonShed             Reason = "shed"               // the backend server refused, usually because its slots are taken
 	ReasonRateLimited      Reason = "rate_limited"       // the limit that the backend server names allows no further request now
-	ReasonResting          Reason = "resting"            // the backend server asked for no requests for a time
+	ReasonBackoff          Reason = "backing_off"        // the backend server asked for no requests for a time
 	ReasonQuarantined      Reason = "quarantined"        // the request crashed the servers that ran it
 	ReasonConnRefused      Reason = "connection_refused" // no connection to the replica could be opened
 	ReasonConnLost         Reason = "connection_lost"    // the connection to the replica failed
--- a/internal/wire/subrequest.go
+++ b/internal/wire/subrequest.go
@@ -107,10 +107,10 @@
 	// RateLimit is what the server's response says of its limit. It stays zero in
 	// a reply that does not come from the server.
 	RateLimit RateLimit
-	// Leaving is set if the server's response says that it leaves for good, and Rest is
+	// Leaving is set if the server's response says that it leaves for good, and Backoff is
 	// for how long it wants no requests from this host; 0: it does not say so.
 	Leaving bool
-	Rest    time.Duration
+	Backoff time.Duration
 }
 
 // RateLimitState says whether a response advertises a rate limit.
