--- a/internal/backend/httpconn/endless_test.go
+++ b/internal/backend/httpconn/endless_test.go
@@ -309,10 +309,10 @@
 // counts as a complete one with an empty or a short body.
 func TestHeadThatBreaksOffAnywhereIsLost(t *testing.T) {
 	for name, fields := range map[string]string{
-		"with a length":    "X-Attempt-Id: a\r\nX-Response-Stamp: s\r\nContent-Length: 4\r\n\r\n",
-		"without a length": "X-Attempt-Id: a\r\nX-Response-Stamp: s\r\nConnection: close\r\n\r\n",
-		"in chunks":        "X-Attempt-Id: a\r\nX-Response-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n",
-		"without a body":   "X-Attempt-Id: a\r\nContent-Length: 0\r\n\r\n",
+		"with a length":    "X-A: a\r\nX-B: s\r\nContent-Length: 4\r\n\r\n",
+		"without a length": "X-A: a\r\nX-B: s\r\nConnection: close\r\n\r\n",
+		"in chunks":        "X-A: a\r\nX-B: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"without a body":   "X-A: a\r\nContent-Length: 0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
--- a/internal/quarantine/registry_test.go
+++ b/internal/quarantine/registry_test.go
@@ -193,9 +193,9 @@
 	g.Expect(refusal(err).RetryAfter).To(Equal(Duration), "one more server is enough")
 }
 
-// Guards against a verdict that holds on one host only, and against one that a restarted
+// Guards against a quarantine that holds on one host only, and against one that a restarted
 // host or leader does not know.
-func TestVerdictHoldsOnAllHostsAndAfterRestarts(t *testing.T) {
+func TestQuarantineHoldsOnAllHostsAndAfterRestarts(t *testing.T) {
 	g := NewWithT(t)
 	names := []string{"h1", "h2", "h3"}
 	hosts := newTestHosts(t, names...)
