review: hosts wait for suspended leaders and apply a version too late

The case suspends the host that reads the store and the leader of a second zone for 4 s, while the store does not answer the leader of the third one. Undisturbed hosts, which the store serves, answer 404 to requests for a new route later than 3 s after its acknowledgement (rule CONFIG): after a failed poll they wait 1.5 s for the full state of the same silent peer, one peer after the other, before they take over.

--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -2,11 +2,9 @@
 
 import (
 	"fmt"
-	"maps"
 	"os"
 	"os/signal"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -164,10 +162,15 @@
 	}
 	for i := range 9 {
 		zone := Zones[i/3]
-		h, err := NewHost(d.dir, fmt.Sprintf("front-%s-%d", zone, i%3+1), zone, ip(11+i), d.Store.Addr(), strings.Join(seeds, ","))
+		gate, err := NewGate(ip(1), d.Store.Addr())
 		if err != nil {
 			return err
 		}
+		h, err := NewHost(d.dir, fmt.Sprintf("front-%s-%d", zone, i%3+1), zone, ip(11+i), gate.Addr(), strings.Join(seeds, ","))
+		if err != nil {
+			return err
+		}
+		h.StoreGate = gate
 		d.Hosts = append(d.Hosts, h)
 	}
 	for _, h := range d.Hosts {
@@ -198,15 +201,14 @@
 	return nil
 }
 
-// FirstReader returns the host that reads the store for the others: the one with the first
-// seat, nil if there is none.
-func (d *Deployment) FirstReader() *Host {
-	seats := d.Store.Values("hosts/")
-	for _, key := range slices.Sorted(maps.Keys(seats)) {
-		for _, h := range d.Hosts {
-			if strings.Contains(seats[key], strconv.Quote(h.Name)) {
-				return h
-			}
+// Leader returns the host that leads a zone: the one with its first seat, nil if there is
+// none. That of the first zone reads the store for the others.
+func (d *Deployment) Leader(zone string) *Host {
+	key := "hosts/" + zone + "/1"
+	seat := d.Store.Values(key)[key]
+	for _, h := range d.Hosts {
+		if strings.Contains(seat, strconv.Quote(h.Name)) {
+			return h
 		}
 	}
 	return nil
--- a/review/harness/host.go
+++ b/review/harness/host.go
@@ -15,6 +15,7 @@
 // Host is one entry host: its settings and its process.
 type Host struct {
 	Name, Zone, IP string
+	StoreGate      *Gate // passes its connections to the store on
 	dir            string
 	mu             sync.Mutex
 	cmd            *exec.Cmd
@@ -114,6 +115,13 @@
 	<-h.exited
 }
 
+// Signal sends a signal to the process.
+func (h *Host) Signal(signal syscall.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_ = h.cmd.Process.Signal(signal)
+}
+
 // Ready reports whether the host says that it is ready.
 func (h *Host) Ready() bool {
 	client := http.Client{Timeout: time.Second}
--- a/review/programs/drain/main.go
+++ b/review/programs/drain/main.go
@@ -58,7 +58,7 @@
 	dr := &drain{done: make(chan struct{}), replica: calls[0]}
 	var killed *harness.Host
 	if harness.Trouble() {
-		if killed = d.FirstReader(); killed == nil {
+		if killed = d.Leader(harness.Zones[0]); killed == nil {
 			return harness.Failed(&harness.NotReadyError{Host: "the host that reads the store"})
 		}
 		d.Store.SetAfterPage(func(prefix, after string, truncated bool) {
