--- a/review/programs/drain/main.go
+++ b/review/2/main.go
@@ -1,4 +1,4 @@
-// Command drain kills the host that reads the store for the others. A replica reports that
+// Command 2 kills the host that reads the store for the others. A replica reports that
 // it drains between two pages of the list that the next reader reads, and ends a little
 // later than drain_ms after that. The command checks that no undisturbed host sends requests
 // to the replica in between.
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"github.com/arbutusgauge/arbutusgauge/review/harness"
+	"github.com/arbutusgauge/arbutusgauge/review"
 )
 
 const (
@@ -31,17 +31,17 @@
 	warmUpRequests = 12
 )
 
-func main() { harness.Main(run) }
+func main() { review.Main(run) }
 
 // drain is the report of the replica that leaves.
 type drain struct {
 	once    sync.Once
 	done    chan struct{}
 	acked   time.Time
-	replica *harness.Replica
+	replica *review.Replica
 }
 
-func (dr *drain) report(d *harness.Deployment) {
+func (dr *drain) report(d *review.Deployment) {
 	dr.once.Do(func() {
 		dr.replica.Locked(func() { dr.replica.Leaving = true })
 		dr.acked = d.Store.Put(dr.replica.Key(), dr.replica.Entry("draining"))
@@ -50,16 +50,16 @@
 	})
 }
 
-func run(d *harness.Deployment) int {
+func run(d *review.Deployment) int {
 	calls, err := start(d)
 	if err != nil {
-		return harness.Failed(err)
+		return review.Failed(err)
 	}
 	dr := &drain{done: make(chan struct{}), replica: calls[0]}
-	var killed *harness.Host
-	if harness.Trouble() {
-		if killed = d.Leader(harness.Zones[0]); killed == nil {
-			return harness.Failed(&harness.NotReadyError{Host: "the host that reads the store"})
+	var killed *review.Host
+	if review.Trouble() {
+		if killed = d.Leader(review.Zones[0]); killed == nil {
+			return review.Failed(&review.NotReadyError{Host: "the host that reads the store"})
 		}
 		d.Store.SetAfterPage(func(prefix, after string, truncated bool) {
 			if prefix == "servers/" && after == "" && truncated {
@@ -74,11 +74,11 @@
 	select {
 	case <-dr.done:
 	case <-time.After(5 * time.Second):
-		return harness.Failed(&harness.NotReadyError{Host: "another host that reads the store"})
+		return review.Failed(&review.NotReadyError{Host: "another host that reads the store"})
 	}
 	if killed != nil {
 		if err := killed.Start(); err != nil {
-			return harness.Failed(err)
+			return review.Failed(err)
 		}
 	}
 	time.Sleep(time.Until(dr.acked.Add(drainTime + quietTime)))
@@ -92,21 +92,21 @@
 }
 
 // start starts the deployment with a service whose replicas come last in the list.
-func start(d *harness.Deployment) ([]*harness.Replica, error) {
+func start(d *review.Deployment) ([]*review.Replica, error) {
 	if err := d.AddShards(); err != nil {
 		return nil, err
 	}
 	for _, name := range []string{"n-log", "p-office"} {
-		if _, err := d.AddService(name, 3, workTime, append(harness.Zones, harness.Zones...)...); err != nil {
+		if _, err := d.AddService(name, 3, workTime, append(review.Zones, review.Zones...)...); err != nil {
 			return nil, err
 		}
 	}
 	// All replicas are as far from the hosts of the other zones, which use them alike.
-	calls, err := d.AddService("z-call", 3, workTime, harness.Zones[0], harness.Zones[0], harness.Zones[0])
+	calls, err := d.AddService("z-call", 3, workTime, review.Zones[0], review.Zones[0], review.Zones[0])
 	if err != nil {
 		return nil, err
 	}
-	route := harness.Route{Name: "r-call", Prefix: "/call/", Type: "unsafe", Service: "z-call", MaxAttempts: 2, TimeoutMS: 5000}
+	route := review.Route{Name: "r-call", Prefix: "/call/", Type: "unsafe", Service: "z-call", MaxAttempts: 2, TimeoutMS: 5000}
 	d.Configure(7, route)
 	if err := d.StartHosts(); err != nil {
 		return nil, err
@@ -122,7 +122,7 @@
 }
 
 // warmUp sends requests to all hosts, some at a time, so that each host has used each replica.
-func warmUp(d *harness.Deployment) {
+func warmUp(d *review.Deployment) {
 	var group sync.WaitGroup
 	for n := range warmUpRequests {
 		for i, h := range d.Hosts {
@@ -133,7 +133,7 @@
 }
 
 // sendAll sends requests to all hosts but the killed one until a time.
-func sendAll(d *harness.Deployment, until time.Time, killed *harness.Host) {
+func sendAll(d *review.Deployment, until time.Time, killed *review.Host) {
 	var group sync.WaitGroup
 	for n := 0; time.Now().Before(until); n++ {
 		for i, h := range d.Hosts {
@@ -151,7 +151,7 @@
 	group.Wait()
 }
 
-func judge(d *harness.Deployment, dr *drain) int {
+func judge(d *review.Deployment, dr *drain) int {
 	late, cut := 0, 0
 	for _, run := range dr.replica.Runs() {
 		if age := run.At.Sub(dr.acked); age > drainTime {
--- a/review/harness/deployment.go
+++ b/review/deployment.go
@@ -1,4 +1,4 @@
-package harness
+package review
 
 import (
 	"fmt"
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -14,6 +15,9 @@
 // SearchHost is the host name of all routes.
 const SearchHost = "pupu76.example"
 
+// readyTime is how long the hosts may take to be ready after their start.
+const readyTime = 10 * time.Second
+
 // Shards is the number of shards of the merged search.
 const Shards = 20
 
@@ -178,7 +182,7 @@
 			return err
 		}
 	}
-	return d.AwaitReady(10 * time.Second)
+	return d.AwaitReady(readyTime)
 }
 
 // NotReadyError reports a host that is not ready in time.
@@ -214,6 +218,28 @@
 	return nil
 }
 
+// restartTime is how long the processes of killed hosts are away.
+const restartTime = 500 * time.Millisecond
+
+// KillAll kills the processes of all hosts at the same moment, starts them again and waits
+// until they are ready.
+func (d *Deployment) KillAll() error {
+	var group sync.WaitGroup
+	d.Record.Line("the processes of all hosts are killed")
+	for _, h := range d.Hosts {
+		group.Go(h.Kill)
+	}
+	group.Wait()
+	time.Sleep(restartTime)
+	for _, h := range d.Hosts {
+		if err := h.Start(); err != nil {
+			return err
+		}
+	}
+	d.Record.Line("the processes of all hosts are started again")
+	return d.AwaitReady(readyTime)
+}
+
 // RecordRuns writes what replicas began to run.
 func (d *Deployment) RecordRuns(replicas []*Replica) {
 	for _, r := range replicas {
--- a/review/harness/record.go
+++ b/review/record.go
@@ -1,7 +1,7 @@
-// Package harness holds what the scripts of the review share: stand-ins of the platform's
+// Package review holds what the scripts of the independent review share: stand-ins of the platform's
 // store, of replicas and of clients, the processes of the entry hosts, and the record of
 // what was sent, answered and run.
-package harness
+package review
 
 import (
 	"fmt"
--- a/review/harness/store.go
+++ b/review/store.go
@@ -1,4 +1,4 @@
-package harness
+package review
 
 import (
 	"encoding/json"
--- a/review/harness/times.go
+++ b/review/times.go
@@ -1,4 +1,4 @@
-package harness
+package review
 
 import (
 	"slices"
