Identify client accounts by key, and name the account to replicas

Cause: a configuration with accounts was read without them. Requests with an unknown or withdrawn key ran, the key reached the replicas, and no replica learned the account.

Change: the routing table holds the accounts with the hashes of their keys. The gateway finds the account after the route; a request without a valid key is answered 401 before anything runs. The head for replicas names the account and leaves out the key and what the caller sent as account. Without accounts nothing changes.

--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -13,6 +13,15 @@
 // Error implements error.
 func (e *NoRouteError) Error() string { return "no route for host " + e.Host + " and path " + e.Path }
 
+// UnauthenticatedError reports a request without a key of a client account. The request
+// did not run.
+type UnauthenticatedError struct{ Route string }
+
+// Error implements error.
+func (e *UnauthenticatedError) Error() string {
+	return "no key of a client account for route " + e.Route
+}
+
 // NoTimeLeftError reports that the deadline of the request has passed, or is too
 // close for an answer to arrive in time. The request did not run.
 type NoTimeLeftError struct{}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/arbutusgauge/arbutusgauge/internal/account"
 	"github.com/arbutusgauge/arbutusgauge/internal/catalog"
 	"github.com/arbutusgauge/arbutusgauge/internal/quarantine"
 	"github.com/arbutusgauge/arbutusgauge/internal/release"
@@ -48,6 +49,9 @@
 	if options.Quarantine == nil {
 		options.Quarantine = noQuarantine{}
 	}
+	if options.Quotas == nil {
+		options.Quotas = noQuotas{}
+	}
 	if options.Scope == nil {
 		options.Scope = tally.NoopScope
 	}
@@ -59,6 +63,7 @@
 type Result struct {
 	Route    *routing.Route
 	Version  uint64            // of the routing table that was used
+	Account  string            // name of the client account, "" for an anonymous caller
 	Service  string            // the queried service
 	Coverage float64           // covered fraction, 0 to 1
 	Missing  []scatter.Missing // the parts left out, with reasons
@@ -80,14 +85,36 @@
 		return nil, result, &NoRouteError{Host: request.Host, Path: request.Path}
 	}
 	result.Route = route
-	answer, err := g.answer(ctx, view, request, &result)
+	answer, err := g.answerIdentified(ctx, view, request, &result)
 	g.recordMetrics(route, request, err)
 	return answer, result, err
 }
 
-// answer runs the query of a request whose route is known, at another host if
-// one accepts it, else on this host.
-func (g *Gateway) answer(ctx context.Context, view *catalog.View, request *Request, result *Result) (*Answer, error) {
+// answerIdentified answers a request whose route is known if its client account may make
+// it.
+func (g *Gateway) answerIdentified(ctx context.Context, view *catalog.View, request *Request, result *Result) (*Answer, error) {
+	from, ok := view.Table.Identify(result.Route, request.Credential)
+	if !ok {
+		return nil, &UnauthenticatedError{Route: result.Route.Name}
+	}
+	result.Account = from.Name()
+	if from.Account == nil {
+		return g.answer(ctx, view, request, from, result)
+	}
+	refund, err := g.options.Quotas.Admit(ctx, from.Account)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := g.answer(ctx, view, request, from, result)
+	if hasNotRun(err) {
+		refund()
+	}
+	return answer, err
+}
+
+// answer runs the query of a request whose route and sender are known, at another host
+// if one accepts it, else on this host.
+func (g *Gateway) answer(ctx context.Context, view *catalog.View, request *Request, from account.Identity, result *Result) (*Answer, error) {
 	route := result.Route
 	elapsed := time.Since(request.Arrived)
 	timeLeft := route.Timeout - elapsed
@@ -102,7 +129,7 @@
 	if err := g.options.Quarantine.Check(request.Key); err != nil {
 		return nil, err
 	}
-	payload := request.Payload(route.Merged())
+	payload := request.Payload(route.Merged(), from)
 	if route.Merged() && g.options.Forwarder != nil {
 		answer, accepted, err := g.forward(ctx, request, result, ForwardedQuery{
 			ID: request.ID, Host: request.Host, Path: request.Path, Version: view.Table.Version,
@@ -208,6 +235,24 @@
 	return outcome
 }
 
+// hasNotRun reports whether an error shows that no replica has run any part of a
+// request.
+func hasNotRun(err error) bool {
+	var (
+		noTime *NoTimeLeftError
+		peer   *PeerFailedError
+	)
+	switch {
+	case err == nil:
+		return false
+	case errors.As(err, &noTime):
+		return true
+	case errors.As(err, &peer):
+		return peer.Failure == FailedNotRun
+	}
+	return failureOf(err) == FailedNotRun
+}
+
 // failureOf returns the Failure for an error of a query.
 func failureOf(err error) Failure {
 	var (
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -9,6 +9,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/arbutusgauge/arbutusgauge/internal/account"
 	"github.com/arbutusgauge/arbutusgauge/internal/catalog"
 	"github.com/arbutusgauge/arbutusgauge/internal/quarantine"
 	"github.com/arbutusgauge/arbutusgauge/internal/release"
@@ -28,9 +29,12 @@
 	Path     string        // without the query part
 	TimeLeft time.Duration // the time from Arrived on that the caller still waits; 0: not stated
 	Arrived  time.Time
+	// Credential shows the client account of the request.
+	Credential account.Credential
 	// Payload returns the payload for the replicas. part tells the adapter of the
-	// replicas whether the request is for a part of a merged answer.
-	Payload func(part bool) []byte
+	// replicas whether the request is for a part of a merged answer, from whom the
+	// request is.
+	Payload func(part bool, from account.Identity) []byte
 	// Key identifies the request when it comes again; the zero value disables the
 	// quarantine for it.
 	Key wire.RequestKey
@@ -109,6 +113,18 @@
 	Admit(key wire.RequestKey) (quarantine.Admission, error)
 }
 
+// Quotas limits the requests of client accounts over all hosts.
+type Quotas interface {
+	// Admit takes a request from the quota of an account; refund returns it if the request
+	// does not run. An error means that the request must not run.
+	Admit(ctx context.Context, of *account.Account) (refund func(), err error)
+}
+
+// noQuotas is a Quotas that admits all requests.
+type noQuotas struct{}
+
+func (noQuotas) Admit(context.Context, *account.Account) (func(), error) { return func() {}, nil }
+
 // noQuarantine is a Quarantine that admits all requests.
 type noQuarantine struct{}
 
@@ -133,5 +149,7 @@
 	Permits Permits
 	// Quarantine decides about requests that may crash servers; default: all are admitted.
 	Quarantine Quarantine
-	Scope      tally.Scope // default: no metrics
+	// Quotas limits the requests of client accounts; default: all are admitted.
+	Quotas Quotas
+	Scope  tally.Scope // default: no metrics
 }
--- a/internal/routing/match.go
+++ b/internal/routing/match.go
@@ -3,12 +3,15 @@
 import (
 	"slices"
 	"strings"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/account"
 )
 
-// BuildIndex builds the index of routes by host name that Match uses, and returns
-// t. It must be called once before the first call of Match.
+// BuildIndex builds the indexes that Match and Identify use, and returns t. It must be
+// called once before the first call of these.
 func (t *Table) BuildIndex() *Table {
 	t.byHost = map[string][]*Route{}
+	t.accounts = account.NewDirectory(t.Accounts)
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		host := hostName(r.Host)
@@ -31,3 +34,13 @@
 	}
 	return nil
 }
+
+// Identify returns whom a request on a route is from. ok is false if the request must
+// not run: its key is of no account, or it lacks one that the route requires.
+func (t *Table) Identify(route *Route, c account.Credential) (from account.Identity, ok bool) {
+	if len(t.Accounts) == 0 {
+		return account.Identity{}, true
+	}
+	from = account.Identity{Checked: true, Account: t.accounts.Find(c)}
+	return from, from.Account != nil || route.AllowAnonymous && !c.Present
+}
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -7,6 +7,8 @@
 	"net"
 	"strings"
 	"time"
+
+	"github.com/arbutusgauge/arbutusgauge/internal/account"
 )
 
 // Table is one version of the routing table. It must not be changed after the call
@@ -16,8 +18,11 @@
 	Routes   []Route            `json:"routes"`
 	Services map[string]Service `json:"services"`
 	Limits   Limits             `json:"limits"`
+	// Accounts are the client accounts; empty: callers need no key.
+	Accounts []account.Account `json:"accounts,omitempty"`
 
-	byHost map[string][]*Route // by lower-case host name; longest prefix first
+	byHost   map[string][]*Route // by lower-case host name; longest prefix first
+	accounts *account.Directory
 }
 
 // Route determines how the requests for a host name and path prefix are answered.
@@ -46,6 +51,8 @@
 	// LeastCoverage is the fraction of the shards, from 0 to 1, that must have
 	// answered; otherwise the request fails.
 	LeastCoverage float64 `json:"least_coverage,omitempty"`
+	// AllowAnonymous is whether requests need no key although there are accounts.
+	AllowAnonymous bool `json:"allow_anonymous,omitempty"`
 }
 
 // Target is a service that answers a share of a route's requests.
