Keep the quotas of client accounts over all hosts

Accounts have a quota in the configuration, but no host kept it. Now one leader for each account grants credits out of a token bucket to the hosts that use it; hosts that reach no leader use an equal share, which grantors keep free. Requests beyond the quota are answered with 429 and the time of their token.

Tests: go test -race ./internal/quota ./internal/edge ./internal/gateway, and of ./platform those of accounts, quotas, rate limits, stops and settings, pass.

--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 	$(GO) test ./platform -run '^$$' -fuzz '^FuzzDecodeRequest$$' -fuzztime $(DECODER_FUZZ_TIME)
 	$(GO) test ./platform -run '^$$' -fuzz '^FuzzCallerRequest$$' -fuzztime $(DECODER_FUZZ_TIME)
 	$(GO) test ./internal/backend/httpconn -run '^$$' -fuzz '^FuzzResponse$$' -fuzztime $(DECODER_FUZZ_TIME)
+	$(GO) test ./internal/quota -run '^$$' -fuzz '^FuzzMessages$$' -fuzztime $(DECODER_FUZZ_TIME)
 	$(GO) test ./internal/ratelimit -run '^$$' -fuzz '^FuzzMessages$$' -fuzztime $(DECODER_FUZZ_TIME)
 	$(GO) test -count=1 -timeout $(FUZZ_TIMEOUT) $(FUZZ_PACKAGES) -run 'Stateful|AgainstOracle|UnderFaults' \
 		-rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -87,6 +87,17 @@
 	return addrs
 }
 
+// addrs returns the addresses of all leaders; self is that of this host.
+func (l *leaderList) addrs(self string) []string {
+	addrs := l.otherAddrs()
+	for _, leader := range l.get() {
+		if leader.Self {
+			addrs = append(addrs, self)
+		}
+	}
+	return addrs
+}
+
 // minShardsHeld is the share of a service's shards with a replica in a data centre
 // from which the data centre counts as one that holds the service. It is below 1,
 // so that a lost replica does not move all queries elsewhere.
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -26,6 +26,7 @@
 	"github.com/arbutusgauge/arbutusgauge/internal/lead"
 	"github.com/arbutusgauge/arbutusgauge/internal/owner"
 	"github.com/arbutusgauge/arbutusgauge/internal/quarantine"
+	"github.com/arbutusgauge/arbutusgauge/internal/quota"
 	"github.com/arbutusgauge/arbutusgauge/internal/ratelimit"
 	"github.com/arbutusgauge/arbutusgauge/internal/readlimit"
 	"github.com/arbutusgauge/arbutusgauge/internal/scatter"
@@ -57,6 +58,7 @@
 	owner         *owner.Owner
 	rateLimits    *ratelimit.Registry
 	quarantine    *quarantine.Registry
+	quotas        *quota.Registry
 	permitLeaders leaderList
 	engine        *scatter.Engine
 	gateway       *gateway.Gateway
@@ -122,6 +124,9 @@
 	if err != nil {
 		return err
 	}
+	if err := h.newQuotas(); err != nil {
+		return err
+	}
 	h.lead, err = lead.New(lead.Options{
 		Registry: platform.NewSeatRegistry(store),
 		Host: lead.Host{
@@ -133,6 +138,7 @@
 			h.permitLeaders.publish(fleet, h.settings.Host, boottime.Now())
 			h.catalog.SetShare(shareOf(fleet, hosts, h.settings.Host))
 			h.rateLimits.SetHosts(hosts)
+			h.quotas.SetHosts(hosts)
 		},
 		Logger: h.log,
 	})
@@ -231,7 +237,7 @@
 	var err error
 	h.gateway, err = gateway.New(gateway.Options{
 		Engine: h.engine, View: h.catalog.View, Forwarder: forwarder, OnNewerTable: h.catalog.CatchUp, Permits: h.rateLimits,
-		Quarantine: h.quarantine, Scope: h.scope.SubScope("gateway"),
+		Quarantine: h.quarantine, Quotas: h.quotas, Scope: h.scope.SubScope("gateway"),
 	})
 	if err != nil {
 		return err
@@ -271,6 +277,7 @@
 	peers.GET(catalog.PathState, echo.WrapHandler(http.HandlerFunc(h.catalog.ServeState)))
 	peers.POST(ratelimit.PathPermits, echo.WrapHandler(http.HandlerFunc(h.rateLimits.ServePermits)))
 	peers.POST(quarantine.PathRecords, echo.WrapHandler(http.HandlerFunc(h.quarantine.ServeRecords)))
+	peers.POST(quota.PathQuota, echo.WrapHandler(http.HandlerFunc(h.quotas.ServeReports)))
 	queries := aggregate.NewServer(h.gateway, h.isLeaving, h.readBudget, h.scope.SubScope("aggregate"), h.log)
 	peers.POST(aggregate.PathQuery, func(c echo.Context) error {
 		// echo's own writer would take the interim response for the final one.
@@ -327,7 +334,7 @@
 	var group run.Group
 	h.addShutdown(&group, ctx)
 	for _, actor := range []func(context.Context) error{
-		h.owner.Run, h.catalog.Run, h.lead.Run, h.quarantine.Run,
+		h.owner.Run, h.catalog.Run, h.lead.Run, h.quarantine.Run, h.quotas.Run,
 		func(ctx context.Context) error { return h.catalog.StartFromPeers(ctx, h.settings.Seeds) },
 		func(ctx context.Context) error { return h.watchSettings(ctx, settingsChanged) },
 	} {
--- /dev/null
+++ b/internal/quota/errors.go
@@ -0,0 +1,77 @@
+package quota
+
+import (
+	"strconv"
+	"time"
+)
+
+// ExceededError reports a request beyond the quota of its account. The request must not
+// run.
+type ExceededError struct {
+	Account string
+	// RetryAfter is the time until the quota is expected to have room for the request.
+	RetryAfter time.Duration
+	// OwnShare is whether the host refused the request by its own share of the quota,
+	// because the grantor did not answer.
+	OwnShare bool
+}
+
+// Error implements error.
+func (e *ExceededError) Error() string {
+	text := "quota of account " + e.Account + " is exceeded"
+	if e.OwnShare {
+		text += " by the own share, without the grantor"
+	}
+	return text + ", retry after " + e.RetryAfter.String()
+}
+
+// GrantorError reports a grantor that refused a report. Status is that of its response.
+type GrantorError struct{ Peer, Status string }
+
+// Error implements error.
+func (e *GrantorError) Error() string {
+	return "peer " + e.Peer + " refused a quota report: " + e.Status
+}
+
+// StaleReportError reports a report that a newer one of the same host has overtaken.
+type StaleReportError struct {
+	Host            string
+	Sequence, Known uint64
+}
+
+// Error implements error.
+func (e *StaleReportError) Error() string {
+	return "quota report " + strconv.FormatUint(e.Sequence, 10) + " of host " + e.Host + " is older than " + strconv.FormatUint(e.Known, 10)
+}
+
+// FullError reports that a grantor keeps the most hosts, lists of leaders or accounts
+// that it may.
+type FullError struct{ What string }
+
+// Error implements error.
+func (e *FullError) Error() string { return "quota grantor has no room for more " + e.What }
+
+// MessageError reports a malformed message of a peer. Err is the error of the JSON
+// decoder, nil if the message is JSON.
+type MessageError struct {
+	Problem string
+	Err     error
+}
+
+// Error implements error.
+func (e *MessageError) Error() string {
+	text := "malformed quota message: " + e.Problem
+	if e.Err != nil {
+		text += ": " + e.Err.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *MessageError) Unwrap() error { return e.Err }
+
+// OptionError reports an unset field of Options.
+type OptionError struct{ Option string }
+
+// Error implements error.
+func (e *OptionError) Error() string { return "option " + e.Option + " of quota is required" }
--- /dev/null
+++ b/internal/quota/limit.go
@@ -0,0 +1,74 @@
+package quota
+
+import (
+	"hash/fnv"
+	"math"
+	"time"
+)
+
+// Bounds are the bound on the requests of an account over all hosts: in each Window, at
+// most (rate × Window + burst) × (1 + Overage) + Slack.
+type Bounds struct {
+	Window  time.Duration
+	Overage float64
+	Slack   float64 // requests
+}
+
+// DefaultBounds are those of the users' platform.
+var DefaultBounds = Bounds{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+
+// Parts of the room between the quota and the bound.
+const (
+	spareRoom    = 0.5  // for credits that hosts hold unused
+	handoverRoom = 0.25 // for a bucket whose use before is not known
+	shareRoom    = 0.25 // for what hosts admit by a share while a grantor may still count them
+)
+
+// limit is the quota of one account.
+type limit struct {
+	rate  float64 // requests a second
+	burst float64 // requests; at least 1, else no request would ever fit
+	room  float64 // what the bound leaves above the quota, in requests
+}
+
+// limit returns a quota.
+func (b Bounds) limit(ratePerSecond, burst float64) limit {
+	burst = max(1, burst)
+	return limit{rate: ratePerSecond, burst: burst, room: b.Overage*(ratePerSecond*b.Window.Seconds()+burst) + b.Slack}
+}
+
+// chooseGrantor returns the leader that grants the credits of an account: the one with
+// the greatest hash of both (rendezvous hashing), "" if there is no leader.
+func chooseGrantor(leaders []string, account string) string {
+	chosen, greatest := "", uint64(0)
+	for _, leader := range leaders {
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(leader))
+		_, _ = h.Write([]byte{0})
+		_, _ = h.Write([]byte(account))
+		if score := mix(h.Sum64()); chosen == "" || score > greatest || score == greatest && leader > chosen {
+			chosen, greatest = leader, score
+		}
+	}
+	return chosen
+}
+
+// mix spreads the last bytes of a hash over all its bits: those of FNV depend little on
+// them, so similar names would have the same grantor.
+func mix(h uint64) uint64 {
+	h = (h ^ h>>33) * 0xff51afd7ed558ccd
+	h = (h ^ h>>33) * 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+// seconds converts a number of seconds, at most maxRetryAfter.
+func seconds(s float64) time.Duration {
+	if math.IsNaN(s) || s >= maxRetryAfter.Seconds() {
+		return maxRetryAfter
+	}
+	return max(0, time.Duration(s*float64(time.Second)))
+}
+
+// maxRetryAfter bounds the times told to callers. Later, other limits or fewer callers
+// are likelier than the same queue.
+const maxRetryAfter = 30 * time.Second
