quarantine: coordinate the trials of a suspected request over all hosts

Cause: a trial held back the copies of one host only, and a first wave that ended any number of replicas at one moment gave no quarantine.

Change: from two ended replicas on, a host asks a leader for permission (POST /v1/trial), the first by rendezvous hashing of the request's key. It permits one trial at a time. An ending under a permitted trial is enough for a verdict after three. Trials after the third end are counted by leader; each leader has a share of the three, so that the sum holds without an exchange between them. Then the request is refused for 24 h. Hosts remember recent answers, which clear requests that keep being answered as soon as their endings become known. Requests that are not suspected, and those under which one replica ended, cause no message.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -111,6 +111,7 @@
 		return err
 	}
 	h.quarantine, err = quarantine.New(quarantine.Options{
+		Addr:      h.settings.PeerAddr,
 		Clock:     boottime.Now,
 		Leaders:   h.permitLeaders.otherAddrs,
 		Leads:     func() bool { return h.lead.Leads() },
@@ -271,6 +272,7 @@
 	peers.GET(catalog.PathState, echo.WrapHandler(http.HandlerFunc(h.catalog.ServeState)))
 	peers.POST(ratelimit.PathPermits, echo.WrapHandler(http.HandlerFunc(h.rateLimits.ServePermits)))
 	peers.POST(quarantine.PathRecords, echo.WrapHandler(http.HandlerFunc(h.quarantine.ServeRecords)))
+	peers.POST(quarantine.PathTrials, echo.WrapHandler(http.HandlerFunc(h.quarantine.ServeTrials)))
 	queries := aggregate.NewServer(h.gateway, h.isLeaving, h.readBudget, h.scope.SubScope("aggregate"), h.log)
 	peers.POST(aggregate.PathQuery, func(c echo.Context) error {
 		// echo's own writer would take the interim response for the final one.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -173,14 +173,21 @@
 func (g *Gateway) runLocally(ctx context.Context, view *catalog.View, query scatter.Query, result *Result) (*Answer, error) {
 	route := result.Route
 	query.Config, query.Service, query.Search, query.Repeatable = view.Config, result.Service, route.Name, route.Repeatable
-	admission, err := g.options.Quarantine.Admit(query.Key)
+	began := time.Now()
+	admission, err := g.options.Quarantine.Admit(ctx, query.Key)
 	if err != nil {
 		return nil, err
 	}
-	defer admission.Done()
+	ran := true // unless the engine proves that it did not run
+	defer func() { admission.Done(ran) }()
 	query.ServersEnded = admission.ServersEnded
+	takeTime(&query, time.Since(began))
+	if admission.Timeout > 0 {
+		query.Deadline = min(query.Deadline, admission.Timeout)
+	}
 	g.preparePermits(ctx, view.Config.Services[result.Service], &query)
 	engineAnswer, err := g.options.Engine.Run(ctx, query)
+	ran = !hasNotRun(err)
 	if err != nil {
 		result.Work, result.Coverage = workOf(err)
 		return nil, err
@@ -197,7 +204,11 @@
 	}
 	began := time.Now()
 	g.options.Permits.Prepare(ctx, service)
-	waited := time.Since(began)
+	takeTime(query, time.Since(began))
+}
+
+// takeTime takes the time that a query has waited for a permission from its deadline.
+func takeTime(query *scatter.Query, waited time.Duration) {
 	query.Elapsed += waited
 	// A deadline of 0 would mean that of the search.
 	query.Deadline = max(query.Deadline-waited, time.Nanosecond)
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -109,8 +109,8 @@
 	// Check returns an error for a request that must not be sent to servers.
 	Check(key wire.RequestKey) error
 	// Admit is Check for a request that this host is about to send to servers, and says
-	// how it may be sent.
-	Admit(key wire.RequestKey) (quarantine.Admission, error)
+	// how it may be sent. A suspected request waits for the permission of another host.
+	Admit(ctx context.Context, key wire.RequestKey) (quarantine.Admission, error)
 }
 
 // Quotas limits the requests of client accounts over all hosts.
@@ -130,8 +130,8 @@
 
 func (noQuarantine) Check(wire.RequestKey) error { return nil }
 
-func (noQuarantine) Admit(wire.RequestKey) (quarantine.Admission, error) {
-	return quarantine.Admission{Done: func() {}}, nil
+func (noQuarantine) Admit(context.Context, wire.RequestKey) (quarantine.Admission, error) {
+	return quarantine.Admission{Done: func(bool) {}}, nil
 }
 
 // Options configure a Gateway.
--- a/internal/quarantine/assess.go
+++ b/internal/quarantine/assess.go
@@ -10,7 +10,8 @@
 )
 
 // suffices reports whether the endings suffice for a quarantine: there are enough of
-// them, and enough of the runs began after another server had ended.
+// them, and enough of the runs began after another server had ended, or one of them was a
+// permitted trial, which is the only run of the request at its time.
 func suffices(endings []ending) bool {
 	if len(endings) < minEndings {
 		return false
@@ -21,6 +22,9 @@
 		if e.began > firstEnd {
 			later++
 		}
+		if e.trial {
+			return true
+		}
 	}
 	return later >= minLaterEndings
 }
--- a/internal/quarantine/errors.go
+++ b/internal/quarantine/errors.go
@@ -24,7 +24,7 @@
 // Error implements error.
 func (e *MessageError) Error() string { return "malformed quarantine message: " + e.Problem }
 
-// PeerStatusError reports a peer that did not take records.
+// PeerStatusError reports a peer that did not take records or answer a question.
 type PeerStatusError struct{ Peer, Status string }
 
 // Error implements error.
@@ -35,3 +35,9 @@
 
 // Error implements error.
 func (e *OptionError) Error() string { return "option " + e.Option + " of quarantine is required" }
+
+// NoLeaderError reports a host that permits no trials, because it leads no data centre.
+type NoLeaderError struct{}
+
+// Error implements error.
+func (*NoLeaderError) Error() string { return "this host leads no data centre and permits no trials" }
--- a/internal/quarantine/messages.go
+++ b/internal/quarantine/messages.go
@@ -22,6 +22,15 @@
 	// Cleared is set if a server has answered the request, ClearedAge ago.
 	Cleared    bool          `json:"cleared,omitempty"`
 	ClearedAge time.Duration `json:"cleared_age,omitempty"`
+	// Trials are the counted trials since the request was last cleared.
+	Trials []KnownTrials `json:"trials,omitempty"`
+}
+
+// KnownTrials are the counted trials that one leader permitted.
+type KnownTrials struct {
+	Leader string        `json:"leader"` // its address for peers
+	Count  int           `json:"count"`
+	Age    time.Duration `json:"age"` // since the end of the last one
 }
 
 // KnownEnding is the end of a server while it ran the request.
@@ -29,6 +38,7 @@
 	Replica  wire.ReplicaID `json:"replica"`
 	BeganAge time.Duration  `json:"began_age"` // since the run was started
 	Age      time.Duration  `json:"age"`       // since the end was noticed
+	Trial    bool           `json:"trial,omitempty"`
 }
 
 // maxTold limits the records in one message.
@@ -44,6 +54,19 @@
 			return errors.WithStack(&MessageError{Problem: "ending of a server is out of range"})
 		}
 	}
+	return validateTrials(k.Trials)
+}
+
+// validateTrials returns *MessageError for counts that no host of this program states.
+func validateTrials(trials []KnownTrials) error {
+	if len(trials) > maxTrialLeaders {
+		return errors.WithStack(&MessageError{Problem: "trials of too many leaders"})
+	}
+	for _, t := range trials {
+		if t.Count < 1 || t.Count > maxTrials || t.Age < 0 {
+			return errors.WithStack(&MessageError{Problem: "count of trials is out of range"})
+		}
+	}
 	return nil
 }
 
@@ -52,18 +75,17 @@
 func (r *Registry) Since(revision uint64) ([]Known, uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.since(revision, false)
+	return r.since(revision, func(*record) bool { return true })
 }
 
-// since is Since for a caller that holds mu. onlyOwn leaves out what other hosts
-// observed.
-func (r *Registry) since(revision uint64, onlyOwn bool) ([]Known, uint64) {
+// since is Since for a caller that holds mu, and for the wanted records only.
+func (r *Registry) since(revision uint64, wanted func(*record) bool) ([]Known, uint64) {
 	if revision >= r.revision {
 		return nil, r.revision
 	}
 	var changed []wire.RequestKey
 	for key, known := range r.records {
-		if known.revision > revision && (known.own || !onlyOwn) {
+		if known.revision > revision && wanted(known) {
 			changed = append(changed, key)
 		}
 	}
@@ -93,8 +115,9 @@
 		k.ClearedAge = now - r.clearedAt
 	}
 	for _, e := range r.endings {
-		k.Endings = append(k.Endings, KnownEnding{Replica: e.replica, BeganAge: now - e.began, Age: now - e.at})
+		k.Endings = append(k.Endings, KnownEnding{Replica: e.replica, BeganAge: now - e.began, Age: now - e.at, Trial: e.trial})
 	}
+	k.Trials = r.knownTrials(now)
 	return k
 }
 
@@ -134,16 +157,40 @@
 	}
 	var replica wire.ReplicaID
 	for _, e := range told.Endings {
-		if known.add(ending{replica: e.Replica, began: now - e.BeganAge, at: now - e.Age}) {
+		if known.add(ending{replica: e.Replica, began: now - e.BeganAge, at: now - e.Age, trial: e.Trial}) {
 			changed, replica = true, e.Replica
 		}
 	}
 	if told.Quarantined && known.quarantine(now-told.QuarantinedAge) {
 		changed = true
 	}
+	changed = known.learnTrials(told.Trials, now) || changed
 	if changed {
 		r.noteChange(told.Key, known, sourcePeer, replica)
 	}
+	if answered, ok := r.answers.last(told.Key, now); ok && known.clear(answered) {
+		known.own = true
+		r.noteChange(told.Key, known, sourceOwn, "")
+	}
+}
+
+// knownTrials returns the counted trials in the form for another host.
+func (r *record) knownTrials(now time.Duration) []KnownTrials {
+	var out []KnownTrials
+	for _, t := range r.trials {
+		out = append(out, KnownTrials{Leader: t.leader, Count: t.count, Age: max(0, now-t.at)})
+	}
+	return out
+}
+
+// learnTrials merges the counted trials that a peer knows, and reports whether that changed
+// the record.
+func (r *record) learnTrials(told []KnownTrials, now time.Duration) bool {
+	changed := false
+	for _, t := range told {
+		changed = r.addTrials(trialCount{leader: t.Leader, count: t.Count, at: now - t.Age}) || changed
+	}
+	return r.quarantineIfTried() || changed
 }
 
 // decodeRecords decodes the body of a request at PathRecords.
--- a/internal/quarantine/options.go
+++ b/internal/quarantine/options.go
@@ -13,10 +13,14 @@
 type Transport interface {
 	// Tell passes records to Registry.Learn of the peer at an address, "ip:port".
 	Tell(ctx context.Context, peer string, records []byte) error
+	// Ask passes a question to Registry.AnswerQuestion of the peer and returns the answer.
+	Ask(ctx context.Context, peer string, question []byte) ([]byte, error)
 }
 
-// Options configure a Registry. All but Scope and Logger are required.
+// Options configure a Registry. All but Addr, Scope and Logger are required.
 type Options struct {
+	// Addr is the address for peers of this host, "ip:port"; empty if it serves none.
+	Addr string
 	// Clock returns a monotonic time that goes on while the host is suspended.
 	Clock func() time.Duration
 	// Leaders returns the addresses for peers of the leaders of all data centres, without
@@ -59,6 +63,7 @@
 	suspected, quarantined, cleared tally.Counter // records
 	refused, trials                 tally.Counter // requests
 	leaderFailed, followerFailed    tally.Counter
+	asked, noLeader                 tally.Counter // questions for permission
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -71,5 +76,7 @@
 		leaderFailed: scope.Counter("leader_failed"),
 
 		followerFailed: scope.Counter("follower_failed"),
+
+		asked: scope.Counter("asked"), noLeader: scope.Counter("no_leader"),
 	}
 }
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -32,15 +32,17 @@
 	// maxEndings limits the endings that are remembered of a request.
 	maxEndings = 32
 	// Duration is how long a request is refused after the last server has ended under
-	// it. Then it is tried again, on one server.
+	// it. Then it is tried again, on one server, until maxTrials are used up.
 	Duration = 2 * time.Minute
-	// suspicionTime is how long a request stays a suspect after the last ending.
+	// retention is how long a request is remembered that was quarantined, or under which
+	// minEndings servers have ended. It is refused for so long after maxTrials.
+	retention = 24 * time.Hour
+	// suspicionTime is how long a request with fewer endings stays a suspect after the last
+	// one.
 	suspicionTime = time.Minute
-	// trialTimeout is how long one trial of a request holds back the others.
-	trialTimeout = 2 * time.Second
-	// trialRetryAfter is the time after which a request that a trial holds back may come
-	// again.
-	trialRetryAfter = 200 * time.Millisecond
+	// recentTime is how long the other records are kept after their last change, and how
+	// long leaders are told a record again.
+	recentTime = Duration + suspicionTime
 	// minExtension is the least time by which a quarantine is extended. Without it, hosts
 	// would tell each other the ages of one quarantine, which differ a little, without end.
 	minExtension = time.Second
@@ -56,11 +58,14 @@
 	// recordCount is the number of records, for a check without mu.
 	recordCount atomic.Int32
 	news        chan struct{} // signals Run that there is something to tell
+	answers     recentAnswers
 
 	mu       sync.Mutex
 	revision uint64
 	records  map[wire.RequestKey]*record
 	told     map[string]*toldLeader // by the leader's address for peers
+	// lostLeaders holds until when leaders are not asked, by their addresses.
+	lostLeaders map[string]time.Duration
 }
 
 // ending is the end of a server while it ran a request.
@@ -68,6 +73,8 @@
 	replica wire.ReplicaID
 	// began is when the run was started, at when the end was noticed.
 	began, at time.Duration
+	// trial is set if the run was a permitted trial.
+	trial bool
 }
 
 // record is what is known of one request.
@@ -85,9 +92,11 @@
 	changedAt   time.Duration
 	revision    uint64 // of the registry at the last change
 	own         bool   // this host observed some of it
-	// trialUntil is the end of a trial that this host makes.
-	trialUntil time.Duration
-	logged     bool // the quarantine was logged
+	// trials are the counted trials since the request was last cleared, by leader.
+	trials    []trialCount
+	trial     ownTrial
+	permitted permission
+	logged    bool // the quarantine was logged
 	// pushed is the urgency with which the record was last pushed to the followers.
 	pushed urgency
 }
@@ -106,14 +115,52 @@
 	if !r.quarantined {
 		return 0
 	}
+	if r.trialsUsed() >= maxTrials {
+		return max(0, r.quarantinedAt+retention-now)
+	}
 	return max(0, r.quarantinedAt+Duration-now)
 }
 
 // isSuspect reports whether the request must be tried on one server first.
 func (r *record) isSuspect(now time.Duration) bool {
-	return r.quarantined || r.unexplained > 0 && now-r.lastEnding() < suspicionTime
+	if r.quarantined {
+		return now-r.quarantinedAt < retention
+	}
+	age := now - r.lastEnding()
+	return r.unexplained > 0 && (age < suspicionTime || r.unexplained >= minEndings && age < retention)
+}
+
+// needsPermission reports whether a trial of the request, which is a suspect, needs the
+// permission of a leader.
+func (r *record) needsPermission(now time.Duration) bool {
+	return r.isSuspect(now) && (r.quarantined || r.unexplained >= permissionEndings)
+}
+
+// trialsUsed returns the number of counted trials of all hosts.
+func (r *record) trialsUsed() int {
+	used := 0
+	for _, t := range r.trials {
+		used += t.count
+	}
+	return used
+}
+
+// quarantineIfTried quarantines the request after the last of its trials, and reports
+// whether that changed the record.
+func (r *record) quarantineIfTried() bool {
+	if r.trialsUsed() < maxTrials {
+		return false
+	}
+	var last time.Duration
+	for _, t := range r.trials {
+		last = max(last, t.at)
+	}
+	return r.quarantine(last)
 }
 
+// clearedSince reports whether a server answered the request at or after a time.
+func (r *record) clearedSince(at time.Duration) bool { return r.cleared && r.clearedAt >= at }
+
 // add adds an ending and reports whether it changed the record.
 func (r *record) add(e ending) bool {
 	if r.cleared && e.began <= r.clearedAt {
@@ -141,9 +188,13 @@
 // record.
 func (r *record) clear(at time.Duration) bool {
 	kept := slices.DeleteFunc(slices.Clone(r.endings), func(e ending) bool { return e.began <= at })
-	changed := len(kept) != len(r.endings) || r.quarantined
+	changed := len(kept) != len(r.endings) || r.quarantined && r.quarantinedAt <= at
 	r.endings, r.cleared, r.clearedAt = kept, true, max(at, r.clearedAt)
-	r.quarantined = false
+	r.trials = slices.DeleteFunc(r.trials, func(t trialCount) bool { return t.at <= at })
+	r.unexplained = min(r.unexplained, len(kept))
+	if r.quarantinedAt <= at {
+		r.quarantined = false
+	}
 	return changed
 }
 
@@ -164,48 +215,10 @@
 	}
 	return &Registry{
 		options: options, metrics: newMetrics(options.Scope), news: make(chan struct{}, 1),
-		records: map[wire.RequestKey]*record{}, told: map[string]*toldLeader{},
+		records: map[wire.RequestKey]*record{}, told: map[string]*toldLeader{}, lostLeaders: map[string]time.Duration{},
 	}, nil
 }
 
-// Admission says how an admitted request may be sent to servers.
-type Admission struct {
-	// ServersEnded is the number of servers that have ended while they ran the request.
-	// If it is not 0, the request must be sent to one server at a time until one answers.
-	ServersEnded int
-	// Done must be called at the end of the request.
-	Done func()
-}
-
-// Admit decides about a request that is about to be sent to servers. *RefusedError means
-// that it must not be sent.
-func (r *Registry) Admit(key wire.RequestKey) (Admission, error) {
-	admitted := Admission{Done: func() {}}
-	if key.IsZero() || r.recordCount.Load() == 0 {
-		return admitted, nil
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.options.Clock()
-	known := r.records[key]
-	switch {
-	case known == nil || !known.isSuspect(now):
-		return admitted, nil
-	case known.quarantinedFor(now) > 0:
-		return Admission{}, r.refuse(key, known.quarantinedFor(now))
-	case known.unexplained == 1 && !known.quarantined:
-		// One server may have ended for any reason.
-		admitted.ServersEnded = 1
-		return admitted, nil
-	case now < known.trialUntil:
-		return Admission{}, r.refuse(key, trialRetryAfter)
-	}
-	r.metrics.trials.Inc(1)
-	until := now + trialTimeout
-	known.trialUntil = until
-	return Admission{ServersEnded: max(1, known.unexplained), Done: func() { r.endTrial(key, until) }}, nil
-}
-
 // Check returns *RefusedError for a quarantined request.
 func (r *Registry) Check(key wire.RequestKey) error {
 	if key.IsZero() || r.recordCount.Load() == 0 {
@@ -245,15 +258,6 @@
 	return &RefusedError{Key: key, RetryAfter: retryAfter}
 }
 
-// endTrial lets the next trial begin, unless another one has begun already.
-func (r *Registry) endTrial(key wire.RequestKey, until time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if known := r.records[key]; known != nil && known.trialUntil == until {
-		known.trialUntil = 0
-	}
-}
-
 // Run is a run of a request on a server.
 type Run struct {
 	Key wire.RequestKey
@@ -270,8 +274,12 @@
 		if run.Key.IsZero() {
 			continue
 		}
+		began := now - run.Age
+		if answered, ok := r.answers.last(run.Key, now); ok && began <= answered {
+			continue // it does not crash servers
+		}
 		known := r.record(run.Key)
-		if known.add(ending{replica: replica, began: now - run.Age, at: now}) {
+		if known.add(ending{replica: replica, began: began, at: now, trial: known.trial.covers(began)}) {
 			known.own, changed = true, true
 			r.noteChange(run.Key, known, sourceOwn, replica)
 		}
@@ -285,7 +293,11 @@
 // Answered records that a server answered the request, which clears it. An error
 // response clears nothing: a server may send it in place of a run.
 func (r *Registry) Answered(key wire.RequestKey) {
-	if key.IsZero() || r.recordCount.Load() == 0 {
+	if key.IsZero() {
+		return
+	}
+	r.answers.note(key, r.options.Clock())
+	if r.recordCount.Load() == 0 {
 		return
 	}
 	r.mu.Lock()
@@ -318,14 +330,14 @@
 	var first wire.RequestKey
 	var firstRank time.Duration
 	for key, known := range r.records {
-		if now-known.changedAt > Duration+suspicionTime {
+		if now-known.changedAt > known.retention() {
 			delete(r.records, key)
 			continue
 		}
-		// A quarantined request outranks any that is not.
+		// A request that was quarantined outranks any that was not.
 		rank := known.changedAt
-		if known.quarantinedFor(now) > 0 {
-			rank += 2 * (Duration + suspicionTime)
+		if known.quarantined {
+			rank += 2 * retention
 		}
 		if first.IsZero() || rank < firstRank {
 			first, firstRank = key, rank
@@ -336,6 +348,14 @@
 	}
 }
 
+// retention returns how long the record is kept after its last change.
+func (r *record) retention() time.Duration {
+	if r.quarantined || r.unexplained >= minEndings {
+		return retention
+	}
+	return recentTime
+}
+
 // Sources of a change, for the log.
 const (
 	sourceOwn  = "own"
--- a/internal/quarantine/registry_test.go
+++ b/internal/quarantine/registry_test.go
@@ -21,6 +21,7 @@
 	peers []string
 	net   map[string]*testHost
 	down  map[string]bool // peers that can't be reached
+	asked int             // questions that this host has sent to others
 }
 
 type unreachableError struct{}
@@ -39,6 +40,15 @@
 	return h.net[peer].Learn(records)
 }
 
+// Ask implements Transport.
+func (h *testHost) Ask(_ context.Context, peer string, text []byte) ([]byte, error) {
+	h.asked++
+	if h.down[peer] {
+		return nil, unreachableError{}
+	}
+	return h.net[peer].AnswerQuestion(text)
+}
+
 // newTestHosts returns leading hosts with the given names, which share a clock.
 func newTestHosts(t *testing.T, names ...string) map[string]*testHost {
 	t.Helper()
@@ -60,7 +70,7 @@
 	}
 	var err error
 	h.Registry, err = New(Options{
-		Clock: func() time.Duration { return *now }, Leaders: func() []string { return h.peers }, Leads: func() bool { return true },
+		Addr: name, Clock: func() time.Duration { return *now }, Leaders: func() []string { return h.peers }, Leads: func() bool { return true },
 		Followers: func() []string { return nil }, Transport: h,
 	})
 	if err != nil {
@@ -107,18 +117,18 @@
 	g := NewWithT(t)
 	h := newTestHosts(t, "h1")["h1"]
 	for i := range minEndings {
-		admission, err := h.Admit(crashing)
+		admission, err := h.Admit(t.Context(), crashing)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(admission.ServersEnded).To(Equal(i), "a suspect is tried on one server")
 		*h.now += 20 * time.Millisecond
 		h.end(i, 1, 10*time.Millisecond, crashing)
-		admission.Done()
+		admission.Done(true)
 	}
-	_, err := h.Admit(crashing)
+	_, err := h.Admit(t.Context(), crashing)
 	g.Expect(refusal(err).RetryAfter).To(Equal(Duration))
 	g.Expect(refusal(h.Check(crashing))).NotTo(BeNil())
 	g.Expect(h.Quarantined(crashing)).To(BeTrue())
-	admission, err := h.Admit(bystander)
+	admission, err := h.Admit(t.Context(), bystander)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(admission.ServersEnded).To(BeZero())
 }
@@ -129,12 +139,12 @@
 	g := NewWithT(t)
 	h := newTestHosts(t, "h1")["h1"]
 	h.end(0, 20, 10*time.Millisecond, bystander)
-	admission, err := h.Admit(bystander)
+	admission, err := h.Admit(t.Context(), bystander)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(admission.ServersEnded).To(BeNumerically(">", 0))
 	h.Answered(bystander)
-	admission.Done()
-	admission, err = h.Admit(bystander)
+	admission.Done(true)
+	admission, err = h.Admit(t.Context(), bystander)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(admission.ServersEnded).To(BeZero(), "an answer clears the request")
 }
@@ -153,7 +163,7 @@
 	h.end(10, 1, 10*time.Millisecond, crashing)
 	g.Expect(h.Quarantined(crashing)).To(BeTrue())
 	g.Expect(h.Quarantined(bystander)).To(BeFalse())
-	admission, err := h.Admit(bystander)
+	admission, err := h.Admit(t.Context(), bystander)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(admission.ServersEnded).To(BeZero())
 }
@@ -164,15 +174,15 @@
 	g := NewWithT(t)
 	h := newTestHosts(t, "h1")["h1"]
 	h.end(0, 5, 10*time.Millisecond, crashing)
-	admission, err := h.Admit(crashing)
+	admission, err := h.Admit(t.Context(), crashing)
 	g.Expect(err).NotTo(HaveOccurred())
-	_, err = h.Admit(crashing)
+	_, err = h.Admit(t.Context(), crashing)
 	g.Expect(refusal(err).RetryAfter).To(Equal(trialRetryAfter))
-	admission.Done()
-	_, err = h.Admit(crashing)
+	admission.Done(false)
+	_, err = h.Admit(t.Context(), crashing)
 	g.Expect(err).NotTo(HaveOccurred())
 	*h.now += trialTimeout
-	_, err = h.Admit(crashing)
+	_, err = h.Admit(t.Context(), crashing)
 	g.Expect(err).NotTo(HaveOccurred())
 }
 
@@ -182,14 +192,14 @@
 	h := newTestHosts(t, "h1")["h1"]
 	h.quarantine(crashing)
 	*h.now += Duration
-	admission, err := h.Admit(crashing)
+	admission, err := h.Admit(t.Context(), crashing)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(admission.ServersEnded).To(BeNumerically(">", 0))
-	_, err = h.Admit(crashing)
+	_, err = h.Admit(t.Context(), crashing)
 	g.Expect(refusal(err)).NotTo(BeNil())
 	h.end(7, 1, 10*time.Millisecond, crashing)
-	admission.Done()
-	_, err = h.Admit(crashing)
+	admission.Done(true)
+	_, err = h.Admit(t.Context(), crashing)
 	g.Expect(refusal(err).RetryAfter).To(Equal(Duration), "one more server is enough")
 }
 
@@ -218,7 +228,7 @@
 	*restarted.now += retellInterval
 	hosts["h1"].tellAll(t.Context())
 	g.Expect(restarted.Quarantined(crashing)).To(BeTrue())
-	_, err := restarted.Admit(crashing)
+	_, err := restarted.Admit(t.Context(), crashing)
 	g.Expect(refusal(err).RetryAfter).To(BeNumerically("<", Duration))
 }
 
@@ -270,7 +280,7 @@
 	leader.options.Followers = func() []string { return []string{"follower"} }
 	leader.end(0, minEndings, 10*time.Millisecond, crashing)
 	leader.pushToFollowers(t.Context())
-	admission, err := hosts["follower"].Admit(crashing)
+	admission, err := hosts["follower"].Admit(t.Context(), crashing)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(admission.ServersEnded).To(BeNumerically(">", 0))
 	leader.quarantine(crashing)
--- a/internal/quarantine/tell.go
+++ b/internal/quarantine/tell.go
@@ -1,22 +1,12 @@
 package quarantine
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"net"
-	"net/http"
 	"sync"
 	"time"
-
-	"github.com/pkg/errors"
-
-	"github.com/arbutusgauge/arbutusgauge/internal/readlimit"
 )
 
-// PathRecords is the path at which a host takes records from its peers.
-const PathRecords = "/v1/quarantine"
-
 const (
 	// tellTimeout bounds one call to a leader, tellRetryInterval is the pause after a
 	// round in which a leader did not take the records.
@@ -27,10 +17,6 @@
 	retellInterval = 5 * time.Second
 	// maxConcurrentPushes limits the followers that are told at the same time.
 	maxConcurrentPushes = 16
-	// maxMessageBytes bounds the body of one call, which has maxTold records.
-	maxMessageBytes = 1 << 20
-	peerIdleTimeout = 10 * time.Second
-	peerHeadBytes   = 16 << 10
 )
 
 // toldLeader is what a leader was told.
@@ -81,7 +67,8 @@
 }
 
 // newsFor returns the records that a leader was not told yet: those that this host
-// observed or, if it leads, all.
+// observed or, if it leads, all. Old ones that are not quarantined are left out: they stay
+// known for retention, and would be told again and again.
 func (r *Registry) newsFor(leader string) ([]Known, uint64) {
 	onlyOwn := !r.options.Leads()
 	r.mu.Lock()
@@ -93,7 +80,9 @@
 		r.told[leader] = told
 	}
 	told.present = true
-	records, reached := r.since(told.revision, onlyOwn)
+	records, reached := r.since(told.revision, func(known *record) bool {
+		return (known.own || !onlyOwn) && (known.quarantined || now-known.changedAt <= recentTime)
+	})
 	if len(records) == 0 {
 		told.revision = reached
 	}
@@ -115,7 +104,7 @@
 	switch {
 	case r.quarantined:
 		return urgencyQuarantined
-	case r.unexplained >= minEndings:
+	case r.unexplained >= permissionEndings:
 		return urgencySuspected
 	default:
 		return urgencyNone
@@ -208,52 +197,3 @@
 		told.revision = max(told.revision, reached)
 	}
 }
-
-// ServeRecords takes the records of another host.
-func (r *Registry) ServeRecords(w http.ResponseWriter, request *http.Request) {
-	body, err := readlimit.ReadAll(request.Body, request.ContentLength, readlimit.Limits{What: "records of suspected requests", Max: maxMessageBytes})
-	var records []Known
-	if err == nil {
-		records, err = decodeRecords(body)
-	}
-	if err == nil {
-		err = r.Learn(records)
-	}
-	if err != nil {
-		r.options.Logger.WithError(err).Warn("records of suspected requests refused")
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	w.WriteHeader(http.StatusOK)
-}
-
-// HTTPTransport carries records by HTTP.
-type HTTPTransport struct{ client *http.Client }
-
-var _ Transport = (*HTTPTransport)(nil)
-
-// NewHTTPTransport returns a transport without connections.
-func NewHTTPTransport() *HTTPTransport {
-	return &HTTPTransport{client: &http.Client{Transport: &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: tellTimeout}).DialContext,
-		IdleConnTimeout:        peerIdleTimeout,
-		MaxResponseHeaderBytes: peerHeadBytes,
-	}}}
-}
-
-// Tell implements Transport.
-func (t *HTTPTransport) Tell(ctx context.Context, peer string, records []byte) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer+PathRecords, bytes.NewReader(records))
-	if err != nil {
-		return errors.WithStack(err)
-	}
-	response, err := t.client.Do(request)
-	if err != nil {
-		return errors.WithStack(err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return errors.WithStack(&PeerStatusError{Peer: peer, Status: response.Status})
-	}
-	return nil
-}
