quarantine: keep verdicts in the store for hosts that start

Cause: verdicts lived in the memory of the hosts.

Change: the leader that reads the store keeps the quarantined requests under quarantine/verdicts, by compare-and-swap, at most 128 and 24 h old, with one write for each verdict (several in one). It writes them again if the era of the store rises and they are missing. A host that starts gets the verdicts with the first state of a peer, which peers serve only once they know them, or from the store; readiness waits for that until the host has had a table and servers for 100 ms. Values state ages, because processes have no common clock: a verdict holds for its whole time again after a restart. Requests that were cleared are remembered for 24 h, so that a verdict still in the store is not learned again.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -117,6 +117,9 @@
 		Leads:     func() bool { return h.lead.Leads() },
 		Followers: func() []string { return h.lead.Followers() },
 		Transport: quarantine.NewHTTPTransport(),
+		Store:     platform.NewVerdictStore(store),
+		Reads:     func() bool { return h.lead.Reads() },
+		HasState:  h.hasState,
 		Scope:     h.scope.SubScope("quarantine"),
 		Logger:    h.log,
 	})
@@ -145,7 +148,7 @@
 		AnswerMargin: answerMargin,
 		Leadership:   h.lead,
 		RateLimits:   h.rateLimits,
-		Quarantine:   h.quarantine,
+		Quarantine:   peerRecords{h.quarantine},
 		HostName:     h.settings.Host,
 		PeerAddr:     h.settings.PeerAddr,
 		Cores:        h.settings.Cores,
@@ -257,7 +260,7 @@
 // serveReadiness answers the readiness check: status 503 while the host stops or
 // can't serve, else 200.
 func (h *Host) serveReadiness(c echo.Context) error {
-	if h.stopping.Load() || !h.reachability.canServe(h.catalog.View()) {
+	if h.stopping.Load() || !h.quarantine.Started() || !h.reachability.canServe(h.catalog.View()) {
 		return c.NoContent(http.StatusServiceUnavailable)
 	}
 	return c.NoContent(http.StatusOK)
@@ -269,7 +272,7 @@
 	readiness := echo.New()
 	readiness.GET(platform.PathReady, h.serveReadiness)
 	peers := echo.New()
-	peers.GET(catalog.PathState, echo.WrapHandler(http.HandlerFunc(h.catalog.ServeState)))
+	peers.GET(catalog.PathState, echo.WrapHandler(http.HandlerFunc(h.serveState)))
 	peers.POST(ratelimit.PathPermits, echo.WrapHandler(http.HandlerFunc(h.rateLimits.ServePermits)))
 	peers.POST(quarantine.PathRecords, echo.WrapHandler(http.HandlerFunc(h.quarantine.ServeRecords)))
 	peers.POST(quarantine.PathTrials, echo.WrapHandler(http.HandlerFunc(h.quarantine.ServeTrials)))
--- a/internal/quarantine/errors.go
+++ b/internal/quarantine/errors.go
@@ -41,3 +41,10 @@
 
 // Error implements error.
 func (*NoLeaderError) Error() string { return "this host leads no data centre and permits no trials" }
+
+// ConflictError reports that another host has changed the verdicts in the store since they
+// were read.
+type ConflictError struct{}
+
+// Error implements error.
+func (*ConflictError) Error() string { return "verdicts in the store were changed by another host" }
--- a/internal/quarantine/messages.go
+++ b/internal/quarantine/messages.go
@@ -22,6 +22,8 @@
 	// Cleared is set if a server has answered the request, ClearedAge ago.
 	Cleared    bool          `json:"cleared,omitempty"`
 	ClearedAge time.Duration `json:"cleared_age,omitempty"`
+	// Convicted is set if the request was quarantined, also if it was cleared since.
+	Convicted bool `json:"convicted,omitempty"`
 	// Trials are the counted trials since the request was last cleared.
 	Trials []KnownTrials `json:"trials,omitempty"`
 }
@@ -71,11 +73,22 @@
 }
 
 // Since returns records that changed after a revision, in order of their changes and
-// maxTold at most, and the revision of the last one.
+// maxTold at most, and the revision of the last one. From revision 0 on it returns the
+// newest maxVerdicts verdicts in addition, because a host that starts must know them.
 func (r *Registry) Since(revision uint64) ([]Known, uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.since(revision, func(*record) bool { return true })
+	records, reached := r.since(revision, func(*record) bool { return true })
+	if revision > 0 || len(records) < maxTold {
+		return records, reached
+	}
+	now := r.options.Clock()
+	for _, key := range r.verdictKeys() {
+		if known := r.records[key]; known.revision > reached {
+			records = append(records, known.known(key, now))
+		}
+	}
+	return records, reached
 }
 
 // since is Since for a caller that holds mu, and for the wanted records only.
@@ -107,7 +120,7 @@
 
 // known returns the record in the form for another host.
 func (r *record) known(key wire.RequestKey, now time.Duration) Known {
-	k := Known{Key: key, Cleared: r.cleared, Quarantined: r.quarantined}
+	k := Known{Key: key, Cleared: r.cleared, Quarantined: r.quarantined, Convicted: r.convicted}
 	if r.quarantined {
 		k.QuarantinedAge = now - r.quarantinedAt
 	}
@@ -145,15 +158,16 @@
 // learn adds one record of a peer. The caller holds mu.
 func (r *Registry) learn(told *Known, now time.Duration) {
 	known := r.records[told.Key]
-	if known == nil && len(told.Endings) == 0 && !told.Quarantined {
+	if known == nil && len(told.Endings) == 0 && !told.Quarantined && !told.Convicted {
 		return // it is clear
 	}
 	if known == nil {
 		known = r.record(told.Key)
 	}
-	changed := false
+	changed := told.Convicted && !known.convicted
+	known.convicted = known.convicted || told.Convicted
 	if told.Cleared {
-		changed = known.clear(now - told.ClearedAge)
+		changed = known.clear(now-told.ClearedAge) || changed
 	}
 	var replica wire.ReplicaID
 	for _, e := range told.Endings {
--- a/internal/quarantine/options.go
+++ b/internal/quarantine/options.go
@@ -17,7 +17,8 @@
 	Ask(ctx context.Context, peer string, question []byte) ([]byte, error)
 }
 
-// Options configure a Registry. All but Addr, Scope and Logger are required.
+// Options configure a Registry. All but Addr, Store, Scope and Logger are required, and
+// Reads and HasState only with a Store.
 type Options struct {
 	// Addr is the address for peers of this host, "ip:port"; empty if it serves none.
 	Addr string
@@ -31,8 +32,14 @@
 	// Followers returns the addresses of the hosts that follow this one.
 	Followers func() []string
 	Transport Transport
-	Scope     tally.Scope   // default: no metrics
-	Logger    log.Interface // default: no log
+	// Store keeps verdicts; nil: they end with the processes.
+	Store Store
+	// Reads reports whether this host reads the store for the others.
+	Reads func() bool
+	// HasState reports whether this host has a state to serve callers with.
+	HasState func() bool
+	Scope    tally.Scope   // default: no metrics
+	Logger   log.Interface // default: no log
 }
 
 // Validate fills in defaults and returns *OptionError for a missing option.
@@ -48,6 +55,10 @@
 		return &OptionError{Option: "Followers"}
 	case o.Transport == nil:
 		return &OptionError{Option: "Transport"}
+	case o.Store != nil && o.Reads == nil:
+		return &OptionError{Option: "Reads"}
+	case o.Store != nil && o.HasState == nil:
+		return &OptionError{Option: "HasState"}
 	}
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
@@ -64,6 +75,7 @@
 	refused, trials                 tally.Counter // requests
 	leaderFailed, followerFailed    tally.Counter
 	asked, noLeader                 tally.Counter // questions for permission
+	saved, storeFailed              tally.Counter // writes of verdicts; failed reads and writes
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -78,5 +90,6 @@
 		followerFailed: scope.Counter("follower_failed"),
 
 		asked: scope.Counter("asked"), noLeader: scope.Counter("no_leader"),
+		saved: scope.Counter("verdicts_saved"), storeFailed: scope.Counter("store_failed"),
 	}
 }
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -59,6 +59,7 @@
 	recordCount atomic.Int32
 	news        chan struct{} // signals Run that there is something to tell
 	answers     recentAnswers
+	started     atomic.Bool // see Started
 
 	mu       sync.Mutex
 	revision uint64
@@ -86,6 +87,9 @@
 	// another one, most recently at quarantinedAt.
 	quarantined   bool
 	quarantinedAt time.Duration
+	// convicted is set if the request was ever quarantined: the store may still have the
+	// verdict, which must not be learned again once the request was cleared.
+	convicted bool
 	// unexplained is the number of endings that no quarantined request explains; see
 	// assess.
 	unexplained int
@@ -97,6 +101,10 @@
 	trial     ownTrial
 	permitted permission
 	logged    bool // the quarantine was logged
+	// saved is the level of the verdict that the store has or need not have, and ageBefore
+	// the age that the verdict had when it was read from there; see verdicts.go.
+	saved     int
+	ageBefore time.Duration
 	// pushed is the urgency with which the record was last pushed to the followers.
 	pushed urgency
 }
@@ -116,7 +124,7 @@
 		return 0
 	}
 	if r.trialsUsed() >= maxTrials {
-		return max(0, r.quarantinedAt+retention-now)
+		return max(0, r.quarantinedAt+retention-r.ageBefore-now)
 	}
 	return max(0, r.quarantinedAt+Duration-now)
 }
@@ -204,7 +212,7 @@
 	if r.cleared && at <= r.clearedAt || r.quarantined && at-r.quarantinedAt < minExtension {
 		return false
 	}
-	r.quarantined, r.quarantinedAt = true, at
+	r.quarantined, r.convicted, r.quarantinedAt, r.ageBefore = true, true, at, 0
 	return true
 }
 
@@ -350,7 +358,7 @@
 
 // retention returns how long the record is kept after its last change.
 func (r *record) retention() time.Duration {
-	if r.quarantined || r.unexplained >= minEndings {
+	if r.convicted || r.unexplained >= minEndings {
 		return retention
 	}
 	return recentTime
@@ -360,6 +368,8 @@
 const (
 	sourceOwn  = "own"
 	sourcePeer = "peer"
+
+	sourceStore = "store"
 )
 
 // noteChange numbers a change of a record and logs it. The caller holds mu.
--- a/internal/quarantine/tell.go
+++ b/internal/quarantine/tell.go
@@ -34,15 +34,29 @@
 	}
 }
 
-// Run tells the leaders what this host observes, until ctx ends. A leader that can't be
-// reached, or that is new, is told later. It returns nil.
+// Run tells the leaders what this host observes, and keeps the verdicts of the store, until
+// ctx ends. A leader that can't be reached, or that is new, is told later. It returns nil.
 func (r *Registry) Run(ctx context.Context) error {
+	var group sync.WaitGroup
+	defer group.Wait()
+	if r.options.Store == nil {
+		r.started.Store(true)
+	} else {
+		group.Go(func() { r.start(ctx) })
+		group.Go(func() { r.saveLoop(ctx) })
+	}
+	r.tellLoop(ctx)
+	return nil
+}
+
+// tellLoop tells the leaders what this host observes, until ctx ends.
+func (r *Registry) tellLoop(ctx context.Context) {
 	ticker := time.NewTicker(tellRetryInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case <-r.news:
 		case <-ticker.C:
 		}
