--- a/internal/quarantine/options.go
+++ b/internal/quarantine/options.go
@@ -13,10 +13,15 @@
 type Transport interface {
 	// Tell passes records to Registry.Learn of the peer at an address, "ip:port".
 	Tell(ctx context.Context, peer string, records []byte) error
+	// Ask passes a question to Registry.AnswerQuestion of the peer and returns the answer.
+	Ask(ctx context.Context, peer string, question []byte) ([]byte, error)
 }
 
-// Options configure a Registry. All but Scope and Logger are required.
+// Options configure a Registry. All but Addr, Store, Scope and Logger are required, and
+// Reads and HasState only with a Store.
 type Options struct {
+	// Addr is the address for peers of this host, "ip:port"; empty if it serves none.
+	Addr string
 	// Clock returns a monotonic time that goes on while the host is suspended.
 	Clock func() time.Duration
 	// Leaders returns the addresses for peers of the leaders of all data centres, without
@@ -27,8 +32,14 @@
 	// Followers returns the addresses of the hosts that follow this one.
 	Followers func() []string
 	Transport Transport
-	Scope     tally.Scope   // default: no metrics
-	Logger    log.Interface // default: no log
+	// Store keeps verdicts; nil: they end with the processes.
+	Store Store
+	// Reads reports whether this host reads the store for the others.
+	Reads func() bool
+	// HasState reports whether this host has a state to serve callers with.
+	HasState func() bool
+	Scope    tally.Scope   // default: no metrics
+	Logger   log.Interface // default: no log
 }
 
 // Validate fills in defaults and returns *OptionError for a missing option.
@@ -44,6 +55,10 @@
 		return &OptionError{Option: "Followers"}
 	case o.Transport == nil:
 		return &OptionError{Option: "Transport"}
+	case o.Store != nil && o.Reads == nil:
+		return &OptionError{Option: "Reads"}
+	case o.Store != nil && o.HasState == nil:
+		return &OptionError{Option: "HasState"}
 	}
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
@@ -59,6 +74,8 @@
 	suspected, quarantined, cleared tally.Counter // records
 	refused, trials                 tally.Counter // requests
 	leaderFailed, followerFailed    tally.Counter
+	asked, noLeader                 tally.Counter // questions for permission
+	saved, storeFailed              tally.Counter // writes of verdicts; failed reads and writes
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -71,5 +88,8 @@
 		leaderFailed: scope.Counter("leader_failed"),
 
 		followerFailed: scope.Counter("follower_failed"),
+
+		asked: scope.Counter("asked"), noLeader: scope.Counter("no_leader"),
+		saved: scope.Counter("verdicts_saved"), storeFailed: scope.Counter("store_failed"),
 	}
 }
