Give followers every change up to the position of a full read

Cause: a full read of several pages logged all changes with the position of the first page. A follower at that position skipped those of later pages, and the reader's next watch found them known, so that they were not logged again.

Change: the source returns the positions of the first and last page. The catalog reads the changes since the first page once more, if they differ, and applies them to the list, which is then exact at its position. The randomized model found more of the kind, which are mended too: a read or watch that reverts what a peer provided meanwhile; removals between the states of a full read, for a follower that was ahead (it gets the full state); removals derived by a peer whose state was ignored as older; lapsed servers passed on as normal ones; hosts that differ after a restoration (one full state after the grace period).

Not covered: a server that was removed and registers again as the same incarnation after two restorations reaches followers only with the full state after the grace period.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -37,6 +37,8 @@
 	changes changeLog
 	// position is the source position up to which server changes are applied.
 	position history.Position
+	// restoredAt is when this host last learned of a restoration of the source; zero: never.
+	restoredAt time.Time
 	// tableHeardAt and serversHeardAt are the times of Options.Clock at which
 	// the source last answered this host or a peer that this host polled.
 	tableHeardAt, serversHeardAt time.Duration
@@ -144,14 +146,18 @@
 	return true
 }
 
-// setServers replaces the known servers by a full list that is valid at a
-// position of the source.
-func (c *Catalog) setServers(list []Server, at history.Position) {
+// setServers replaces the known servers by a full list that is valid at a position of
+// the source. before is the known position at the start of the read. If a peer has
+// provided a later state since then, the list is ignored, and must be read again.
+func (c *Catalog) setServers(list []Server, at, before history.Position) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serversHeardAt = c.options.Clock()
 	c.servers.noteSourceAnswered(now)
+	if c.position != before && at.IsBefore(c.position) {
+		return
+	}
 	c.setServersLocked(list, at, now)
 }
 
@@ -174,7 +180,8 @@
 	if c.position.Era != 0 && at.Era > c.position.Era {
 		c.servers.noteSourceRestored(now)
 	}
-	c.position = at
+	c.changes.addJump(c.position, at)
+	c.setPosition(at, now)
 	if c.replaceServers(list, now) {
 		c.options.Logger.WithFields(log.Fields{"listed": len(list), "known": len(c.servers.known)}).Info("servers read in full")
 		c.rebuild()
@@ -192,18 +199,40 @@
 	return list
 }
 
-// applyChanges applies the server changes up to a position of the source.
+// setPosition sets the known position. The caller holds mu.
+func (c *Catalog) setPosition(at history.Position, now time.Time) {
+	if c.position.Era != 0 && at.Era > c.position.Era {
+		c.restoredAt = now
+	}
+	c.position = at
+}
+
+// knownPosition returns the position of the source up to which server changes are
+// applied.
+func (c *Catalog) knownPosition() history.Position {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.position
+}
+
+// applyChanges applies the server changes up to a position of the source. Those up to
+// the known position are skipped: a peer may have provided them during the watch, with
+// later ones, which an earlier change would revert.
 func (c *Catalog) applyChanges(changes []ServerChange, at history.Position) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serversHeardAt = c.options.Clock()
 	c.servers.noteSourceAnswered(now)
-	if c.position.IsBefore(at) {
-		c.position = at
+	known := c.position
+	if known.IsBefore(at) {
+		c.setPosition(at, now)
 	}
 	changed := false
 	for _, change := range changes {
+		if change.Revision != 0 && !known.IsBefore(change.position()) {
+			continue
+		}
 		changed = c.applyChange(change, now) || changed
 	}
 	if changed {
@@ -251,7 +280,9 @@
 }
 
 // replaceServers replaces the known servers by a full list and reports whether
-// anything changed. The caller holds mu.
+// anything changed. The changes are logged with the known position, so the list must
+// hold exactly the changes up to it: followers skip those up to their own position. The
+// caller holds mu.
 func (c *Catalog) replaceServers(list []Server, now time.Time) bool {
 	changed := false
 	present := map[string]bool{}
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -119,14 +119,14 @@
 	}
 }
 
-func (s *fakeSource) Servers(context.Context) ([]Server, history.Position, error) {
+func (s *fakeSource) Servers(context.Context) (ServerList, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var list []Server
+	list := ServerList{From: s.position(), To: s.position()}
 	for _, server := range s.servers {
-		list = append(list, server)
+		list.Servers = append(list.Servers, server)
 	}
-	return list, s.position(), s.countCall()
+	return list, s.countCall()
 }
 
 func (s *fakeSource) WatchServers(ctx context.Context, after history.Position, wait time.Duration) (ServerChanges, error) {
@@ -418,7 +418,7 @@
 	table := testTable(1)
 	table.Services = map[string]routing.Service{"a": {HealthPath: "/own"}, "b": {}}
 	c.SetTable(table, "test")
-	c.setServers([]Server{newServer("i-1", "a"), newServer("i-2", "b")}, history.Position{Revision: 10})
+	c.setServers([]Server{newServer("i-1", "a"), newServer("i-2", "b")}, history.Position{Revision: 10}, history.Position{})
 	g.Expect(c.HealthPath("i-1")).To(Equal("/own"))
 	g.Expect(c.HealthPath("i-2")).To(Equal(routing.DefaultHealthPath))
 }
--- a/internal/catalog/follow_source.go
+++ b/internal/catalog/follow_source.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -56,7 +58,7 @@
 func (c *Catalog) readInitialServers(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
 	defer cancel()
-	list, at, err := c.options.Source.Servers(callCtx)
+	list, at, err := c.readServers(callCtx)
 	if err != nil {
 		return err
 	}
@@ -64,6 +66,41 @@
 	return nil
 }
 
+// readServers reads all servers from the source and returns them as they were at the
+// returned position. The changes since the first page are read once more and applied to
+// the list, because later pages hold only some of them. *HistoryGoneError means that the
+// source does not hold these changes any more.
+func (c *Catalog) readServers(ctx context.Context) ([]Server, history.Position, error) {
+	list, err := c.options.Source.Servers(ctx)
+	if err != nil || list.From == list.To {
+		return list.Servers, list.To, err
+	}
+	changes, err := c.options.Source.WatchServers(ctx, list.From, 0)
+	if err != nil {
+		return nil, history.Position{}, err
+	}
+	if changes.IsBefore(list.To) {
+		return nil, history.Position{}, errors.WithStack(&HistoryGoneError{After: list.From})
+	}
+	return applyToList(list.Servers, changes.Changes), changes.Position, nil
+}
+
+// applyToList returns a list of servers with changes applied to it, in undefined order.
+func applyToList(list []Server, changes []ServerChange) []Server {
+	byID := make(map[string]Server, len(list))
+	for _, server := range list {
+		byID[server.ID] = server
+	}
+	for _, change := range changes {
+		if change.Server == nil {
+			delete(byID, change.ID)
+			continue
+		}
+		byID[change.ID] = *change.Server
+	}
+	return slices.Collect(maps.Values(byID))
+}
+
 // expiryInterval is the time between two checks for expired servers.
 const expiryInterval = 200 * time.Millisecond
 
@@ -185,11 +222,12 @@
 		callCtx, cancel := context.WithTimeout(ctx, c.options.ServersWait+c.options.CallTimeout)
 		defer cancel()
 		if at.Revision == 0 || c.hasChangesAfter(at) {
-			list, next, err := c.options.Source.Servers(callCtx)
+			before := c.knownPosition()
+			list, next, err := c.readServers(callCtx)
 			if err != nil {
 				return err
 			}
-			c.setServers(list, next)
+			c.setServers(list, next, before)
 			at = next
 		} else {
 			changes, err := c.options.Source.WatchServers(callCtx, at, c.options.ServersWait)
@@ -206,11 +244,7 @@
 
 // hasChangesAfter reports whether changes after a position were already applied,
 // from a peer. A watch from that position would apply them a second time.
-func (c *Catalog) hasChangesAfter(at history.Position) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return at.IsBefore(c.position)
-}
+func (c *Catalog) hasChangesAfter(at history.Position) bool { return at.IsBefore(c.knownPosition()) }
 
 // resetIfHistoryGone sets the position to the beginning, which causes a full read, if
 // err is *HistoryGoneError. It returns err.
--- a/internal/catalog/peer_state.go
+++ b/internal/catalog/peer_state.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/arbutusgauge/arbutusgauge/internal/history"
 	"github.com/arbutusgauge/arbutusgauge/internal/lead"
 	"github.com/arbutusgauge/arbutusgauge/internal/quarantine"
 	"github.com/arbutusgauge/arbutusgauge/internal/ratelimit"
@@ -17,12 +19,24 @@
 // many.
 const maxKeptChanges = 2000
 
+// maxKeptJumps is the number of jumps that a host keeps; the oldest ones are merged.
+const maxKeptJumps = 16
+
 // changeLog numbers the server changes that had an effect, from 1, and keeps the
 // newest ones. The catalog's mutex guards it.
 type changeLog struct {
 	run     int64          // identifies the process that numbered the changes
 	newest  uint64         // number of the newest change; 0: none
 	changes []ServerChange // the newest ones; the last has the number newest
+	jumps   []jump
+}
+
+// jump is a step of the known position for which the log has only the difference of the
+// states before and after it. It lacks the removal of a server that was added and removed
+// in between, which a follower that was ahead of this host may know.
+type jump struct {
+	after    uint64 // number of the newest change before the jump
+	from, to history.Position
 }
 
 func (l *changeLog) add(change ServerChange) {
@@ -33,13 +47,35 @@
 	}
 }
 
-// since returns the changes after a number of a run; false if they are not all
-// kept, or the number is of another process.
-func (l *changeLog) since(run int64, after uint64) ([]ServerChange, bool) {
+// addJump records a jump that comes before the changes which are added next.
+func (l *changeLog) addJump(from, to history.Position) {
+	if !from.IsBefore(to) {
+		return
+	}
+	l.jumps = append(l.jumps, jump{after: l.newest, from: from, to: to})
+	if len(l.jumps) > maxKeptJumps {
+		l.jumps[1].from = l.jumps[0].from
+		l.jumps = slices.Delete(l.jumps, 0, 1)
+	}
+}
+
+// since returns the changes after a number of a run, for a follower at a position, and
+// whether they contain a jump; false if they are not all kept, the number is of another
+// process, or the follower may know a server whose removal they lack.
+func (l *changeLog) since(run int64, after uint64, known history.Position) (changes []ServerChange, jumped, kept bool) {
 	if run != l.run || after > l.newest || l.newest-after > uint64(len(l.changes)) {
-		return nil, false
+		return nil, false, false
+	}
+	for _, j := range l.jumps {
+		if j.after < after {
+			continue
+		}
+		if j.from.IsBefore(known) && known.IsBefore(j.to) {
+			return nil, false, false
+		}
+		jumped = jumped || known.IsBefore(j.to)
 	}
-	return l.changes[uint64(len(l.changes))-(l.newest-after):], true
+	return l.changes[uint64(len(l.changes))-(l.newest-after):], jumped, true
 }
 
 // peerState is the answer to a peer at PathState.
@@ -58,9 +94,15 @@
 	Newest uint64 `json:"next"`
 	// Servers has all servers if Full is set; else Changes has the changes since
 	// the peer's position.
-	Full    bool           `json:"full,omitempty"`
-	Servers []Server       `json:"servers,omitempty"`
+	Full    bool     `json:"full,omitempty"`
+	Servers []Server `json:"servers,omitempty"`
+	// Lapsed are the ids of those Servers whose entries are missing in the source.
+	Lapsed  []string       `json:"lapsed,omitempty"`
 	Changes []ServerChange `json:"changes,omitempty"`
+	// Jumped is set if Changes contains a jump of the change log.
+	Jumped bool `json:"jumped,omitempty"`
+	// asked is the position that the peer was told with the question.
+	asked history.Position
 	// RateLimits are the limits that changed since the peer's position, and
 	// RateLimitsRevision is the position after them.
 	RateLimits         []ratelimit.Known `json:"rate_limits,omitempty"`
--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -66,6 +68,8 @@
 	version    uint64 // of the routing table that this host has
 	run        int64  // run and newest of the peer's change log; 0: nothing yet
 	newest     uint64
+	known      history.Position // up to which this host knows the servers
+	fullAt     time.Time        // when a full state was last applied
 	// rateLimits and quarantine are the positions in the rate limits and in the
 	// suspected requests of the process run.
 	rateLimits, quarantine uint64
@@ -77,6 +81,7 @@
 	query := r.URL.Query()
 	answer := c.stateSince(peerCursor{
 		version: parseUintOrZero(query.Get("version")), run: int64(parseUintOrZero(query.Get("run"))), newest: parseUintOrZero(query.Get("next")),
+		known: history.Position{Era: parseUintOrZero(query.Get("era")), Revision: parseUintOrZero(query.Get("revision"))},
 	})
 	if leadership := c.options.Leadership; leadership != nil {
 		cores, err := strconv.ParseFloat(query.Get("cores"), 64)
@@ -138,15 +143,16 @@
 	if c.table.Version > p.version {
 		answer.Table = c.table
 	}
-	changes, kept := c.changes.since(p.run, p.newest)
+	changes, jumped, kept := c.changes.since(p.run, p.newest, p.known)
 	if kept {
-		answer.Changes = changes
+		answer.Changes, answer.Jumped = changes, jumped
 		return answer
 	}
 	answer.Full = true
 	for _, server := range c.servers.known {
 		answer.Servers = append(answer.Servers, server)
 	}
+	answer.Lapsed = slices.Collect(maps.Keys(c.servers.dropLapsedAt))
 	return answer
 }
 
@@ -230,6 +236,10 @@
 	if view := c.View(); view != nil {
 		cursor.version = view.Table.Version
 	}
+	cursor.known = c.knownPosition()
+	if c.mustCompare(cursor) {
+		cursor.run, cursor.newest = 0, 0
+	}
 	timeout := peerTimeout
 	if cursor.run == 0 {
 		timeout = peerFullStateTimeout
@@ -241,6 +251,7 @@
 	if err != nil {
 		return err
 	}
+	answer.asked = cursor.known
 	stale := answer.Age > maxAge
 	if stale && !c.hasState() {
 		// It may name servers that have left and routes that were withdrawn.
@@ -249,7 +260,12 @@
 	if answer.Table != nil {
 		c.SetTable(answer.Table, "peer")
 	}
-	c.applyPeerState(answer, began)
+	if complete := c.applyPeerState(answer, began); complete || stale {
+		cursor.run, cursor.newest = answer.Run, answer.Newest
+		if answer.Full {
+			cursor.fullAt = time.Now()
+		}
+	}
 	if c.options.RateLimits != nil {
 		if err := c.options.RateLimits.Learn(answer.RateLimits); err != nil {
 			c.options.Logger.WithError(err).WithField("peer", cursor.peer).Warn("rate limits of a peer refused")
@@ -260,7 +276,7 @@
 			c.options.Logger.WithError(err).WithField("peer", cursor.peer).Warn("suspected requests of a peer refused")
 		}
 	}
-	cursor.run, cursor.newest, cursor.rateLimits, cursor.quarantine = answer.Run, answer.Newest, answer.RateLimitsRevision, answer.QuarantineRevision
+	cursor.rateLimits, cursor.quarantine = answer.RateLimitsRevision, answer.QuarantineRevision
 	if leadership := c.options.Leadership; leadership != nil {
 		leadership.LearnHosts(answer.Hosts)
 		switch {
@@ -276,10 +292,22 @@
 	return nil
 }
 
+// mustCompare reports whether the full state of a peer is due after a restoration of the
+// source. Until the servers have registered again, hosts at the same position can know
+// different servers, which they had learned in the era before.
+func (c *Catalog) mustCompare(cursor *peerCursor) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	settledAt := c.restoredAt.Add(reregisterGrace)
+	return !c.restoredAt.IsZero() && time.Now().After(settledAt) && cursor.fullAt.Before(settledAt)
+}
+
 // applyPeerState applies the servers of a peer's state; began is the time of
 // Options.Clock just before the call. A fresh state ends a recorded outage of the
-// source, because the peer itself keeps lapsed servers during an outage.
-func (c *Catalog) applyPeerState(answer *peerState, began time.Duration) {
+// source, because the peer itself keeps lapsed servers during an outage. It returns false
+// if the state was not applied and must be asked for again: as one that is older, but may
+// lack a server that the peer dropped without a change of the source.
+func (c *Catalog) applyPeerState(answer *peerState, began time.Duration) (complete bool) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -296,15 +324,42 @@
 			"era": at.Era, "revision": at.Revision, "known_era": c.position.Era, "known_revision": c.position.Revision,
 			"changes": len(answer.Changes), "full": answer.Full,
 		}).Info("older state of a peer ignored")
-		return
+		return !c.mayLackDropped(answer)
 	}
 	if answer.Full {
+		lapsedBefore := maps.Clone(c.servers.dropLapsedAt)
 		c.setServersLocked(answer.Servers, at, now)
-		return
+		c.servers.noteLapsed(answer.Lapsed, lapsedBefore, now)
+		return true
 	}
 	known := c.position
-	c.position = at
+	if answer.Jumped {
+		if known != answer.asked {
+			return false // the peer has not checked the jump against this position
+		}
+		c.changes.addJump(known, at)
+	}
+	c.setPosition(at, now)
 	c.applyPeerChanges(answer.Changes, known, now)
+	return true
+}
+
+// mayLackDropped reports whether a state lacks a known server that the peer may have
+// dropped itself. The caller holds mu.
+func (c *Catalog) mayLackDropped(answer *peerState) bool {
+	if !answer.Full {
+		return slices.ContainsFunc(answer.Changes, func(change ServerChange) bool { return change.Revision == 0 })
+	}
+	named := make(map[string]bool, len(answer.Servers))
+	for i := range answer.Servers {
+		named[answer.Servers[i].ID] = true
+	}
+	for id := range c.servers.known {
+		if !named[id] {
+			return true
+		}
+	}
+	return false
 }
 
 func (c *Catalog) fetchState(ctx context.Context, client *http.Client, cursor peerCursor) (*peerState, error) {
@@ -312,6 +367,8 @@
 		"version":     {strconv.FormatUint(cursor.version, 10)},
 		"run":         {strconv.FormatInt(cursor.run, 10)},
 		"next":        {strconv.FormatUint(cursor.newest, 10)},
+		"era":         {strconv.FormatUint(cursor.known.Era, 10)},
+		"revision":    {strconv.FormatUint(cursor.known.Revision, 10)},
 		"host":        {c.options.HostName},
 		"rate_limits": {strconv.FormatUint(cursor.rateLimits, 10)},
 		"quarantine":  {strconv.FormatUint(cursor.quarantine, 10)},
--- a/internal/catalog/relay_test.go
+++ b/internal/catalog/relay_test.go
@@ -174,7 +174,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	other.SetTable(testTable(9), "test")
 	other.noteTableAnswer()
-	other.setServers([]Server{newServer("i-2", "a")}, history.Position{Revision: 100})
+	other.setServers([]Server{newServer("i-2", "a")}, history.Position{Revision: 100}, history.Position{})
 	p.followerLeadership.setOthers(serveCatalog(t, other))
 	for _, source := range []*fakeSource{p.leaderSource, p.followerSource} {
 		source.set(func(s *fakeSource) { s.err = sourceError{} })
@@ -191,7 +191,7 @@
 	stale, err := New(Options{Source: newSource()})
 	g.Expect(err).NotTo(HaveOccurred())
 	stale.SetTable(testTable(5), "test")
-	stale.setServers(nil, history.Position{Revision: 9})
+	stale.setServers(nil, history.Position{Revision: 9}, history.Position{})
 	stale.tableHeardAt -= 3 * time.Second
 	for name, knowsNothing := range map[string]bool{"knows an older table": false, "knows nothing": true} {
 		t.Run(name, func(t *testing.T) {
@@ -200,7 +200,7 @@
 			g.Expect(err).NotTo(HaveOccurred())
 			if !knowsNothing {
 				host.SetTable(testTable(4), "test")
-				host.setServers([]Server{newServer("i-1", "a")}, history.Position{Revision: 8})
+				host.setServers([]Server{newServer("i-1", "a")}, history.Position{Revision: 8}, history.Position{})
 			}
 			p := newPeerSet()
 			err = host.pollPeer(t.Context(), p.client, p.cursor(serveCatalog(t, stale)), maxPeerStateAge)
@@ -292,7 +292,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	c.SetTable(testTable(1), "test")
 	left, stays := newServer("i-1", "a"), newServer("i-2", "b")
-	c.setServers([]Server{left, stays}, history.Position{Revision: 10})
+	c.setServers([]Server{left, stays}, history.Position{Revision: 10}, history.Position{})
 	c.applyChanges([]ServerChange{{ID: "i-1", Revision: 11}}, history.Position{Revision: 11})
 	c.applyPeerState(&peerState{Revision: 9, Full: true, Servers: []Server{left}}, 0)
 	g.Expect(replicaIDs(c)).To(ConsistOf(stays.ReplicaID()))
@@ -317,7 +317,7 @@
 	c.SetTable(testTable(1), "test")
 	g.Expect(c.isFresh()).To(BeFalse(), "the source has not answered yet")
 	c.noteTableAnswer()
-	c.setServers(nil, history.Position{Revision: 1})
+	c.setServers(nil, history.Position{Revision: 1}, history.Position{})
 	g.Expect(c.isFresh()).To(BeTrue())
 	clock.Add(int64(5 * time.Second)) // Go's monotonic clock stops during a suspension
 	g.Expect(c.isFresh()).To(BeFalse())
@@ -359,7 +359,7 @@
 			behind, err := New(Options{Source: newSource()})
 			g.Expect(err).NotTo(HaveOccurred())
 			behind.SetTable(testTable(1), "test")
-			behind.setServers([]Server{left, stays}, history.Position{Revision: 10})
+			behind.setServers([]Server{left, stays}, history.Position{Revision: 10}, history.Position{})
 			behind.mu.Lock()
 			behind.tableHeardAt -= time.Minute
 			behind.mu.Unlock()
@@ -367,7 +367,7 @@
 			g.Expect(err).NotTo(HaveOccurred())
 			fresh.SetTable(testTable(2), "test")
 			fresh.noteTableAnswer()
-			fresh.setServers([]Server{stays}, history.Position{Revision: 20})
+			fresh.setServers([]Server{stays}, history.Position{Revision: 20}, history.Position{})
 			seeds := []string{serveCatalog(t, behind), "127.0.0.1:1"}
 			if freshSeed {
 				seeds = append(seeds, serveCatalog(t, fresh))
@@ -394,7 +394,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	c.SetTable(testTable(1), "test")
 	left, stays := newServer("i-1", "a"), newServer("i-2", "b")
-	c.setServers([]Server{left, stays}, history.Position{Era: 1, Revision: 60})
+	c.setServers([]Server{left, stays}, history.Position{Era: 1, Revision: 60}, history.Position{})
 	c.applyPeerState(&peerState{Era: 2, Revision: 19, Changes: []ServerChange{{ID: "i-1", Revision: 19, Era: 2}}}, 0)
 	g.Expect(replicaIDs(c)).To(ConsistOf(stays.ReplicaID()))
 	// The state of a host that has not seen the restoration yet is older.
@@ -428,7 +428,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	leader.SetTable(testTable(5), "test")
 	leader.noteTableAnswer()
-	leader.setServers(nil, history.Position{Revision: 1})
+	leader.setServers(nil, history.Position{Revision: 1}, history.Position{})
 
 	restored := newSource()
 	restored.putTable(3)
--- a/internal/catalog/servers.go
+++ b/internal/catalog/servers.go
@@ -62,7 +62,8 @@
 func (s *serverTable) noteSourceRestored(now time.Time) { s.graceUntil = now.Add(reregisterGrace) }
 
 // put stores a registration and reports whether anything but the sequence
-// changed. Registrations that are older than the known one are ignored: they can
+// changed, or the entry had lapsed: a host without the lapsed entry learns of the server
+// only by this registration. Registrations that are older than the known one are ignored: they can
 // arrive late, and must not revert a server to not draining.
 func (s *serverTable) put(server Server) bool {
 	old, known := s.known[server.ID]
@@ -75,10 +76,11 @@
 		}
 		delete(s.removed, server.ID)
 	}
+	_, lapsed := s.dropLapsedAt[server.ID]
 	delete(s.dropLapsedAt, server.ID)
 	s.known[server.ID] = server
 	old.Sequence = server.Sequence
-	return !known || old != server
+	return !known || lapsed || old != server
 }
 
 func isOlder(server Server, born int64, sequence uint64) bool {
@@ -97,6 +99,20 @@
 	return true
 }
 
+// noteLapsed records that the entries of servers are missing, as a peer found out. Servers
+// that had lapsed here before keep their time.
+func (s *serverTable) noteLapsed(ids []string, before map[string]time.Time, now time.Time) {
+	for _, id := range ids {
+		if _, known := s.known[id]; !known {
+			continue
+		}
+		s.dropLapsedAt[id] = now.Add(reregisterGrace)
+		if at, lapsed := before[id]; lapsed {
+			s.dropLapsedAt[id] = at
+		}
+	}
+}
+
 func (s *serverTable) drop(server Server, now time.Time) {
 	delete(s.known, server.ID)
 	delete(s.dropLapsedAt, server.ID)
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -35,6 +35,14 @@
 	return wire.ReplicaID(s.Addr + "/" + s.ID + "/" + strconv.FormatInt(s.Born, 10))
 }
 
+// ServerList is a full read of the servers. A source reads it in pages that are not
+// taken from one snapshot: a change after From, up to To, may be in it or not.
+type ServerList struct {
+	Servers []Server
+	// From is the position of the first page, and To that of the last one.
+	From, To history.Position
+}
+
 // ServerChanges are the changes of the servers since a position, in order.
 type ServerChanges struct {
 	Changes []ServerChange
@@ -69,9 +77,9 @@
 	// table means that there was none.
 	WatchTable(ctx context.Context, after history.Position, wait time.Duration) (*routing.Table, history.Position, error)
 	// Servers returns all servers.
-	Servers(ctx context.Context) ([]Server, history.Position, error)
+	Servers(ctx context.Context) (ServerList, error)
 	// WatchServers returns the changes after a position. If there are none, it
-	// waits for them, up to wait.
+	// waits for them, up to wait; with a wait of 0 it returns at once.
 	WatchServers(ctx context.Context, after history.Position, wait time.Duration) (ServerChanges, error)
 }
 
