Bound a round of polls over silent leaders

Cause: after a failed poll the position at the peer was dropped, so the next poll waited 1.5 s for a full state in place of 0.3 s, and peers were asked one after the other. With two leaders suspended and a third one behind, hosts reported after more than 3 s that they have no leader.

Change: a round asks the first peer, the second one 300 ms later, then all others at once. A peer that has just failed or still owes an answer does not hold up the next one and is not asked twice. A call that outlasts its round goes on, and its answer is used. The round waits only for peers whose answer has begun; a full state sends its head before it is encoded. A failed poll keeps the position. A host with a routing table and no servers adopts a newer table of a peer that is behind. Options.PeerTransport replaces the network in tests.

--- a/internal/catalog/options.go
+++ b/internal/catalog/options.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/apex/log"
@@ -42,6 +43,8 @@
 	HostName string
 	PeerAddr string
 	Cores    float64
+	// PeerTransport makes the calls to peers; default: HTTP over TCP.
+	PeerTransport http.RoundTripper
 	// Clock returns a monotonic time that goes on while the host is suspended;
 	// default: Go's monotonic clock, which may stop then.
 	Clock func() time.Duration
--- a/internal/catalog/peer_set.go
+++ b/internal/catalog/peer_set.go
@@ -1,13 +1,11 @@
 package catalog
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
-
-	"github.com/pkg/errors"
 )
 
 // peerSet keeps the positions at the peers and the peer that is followed.
@@ -20,6 +18,14 @@
 	foundPeers bool
 	// refused holds the peers that were asked in vain since a peer was last followed.
 	refused map[string]bool
+	// failing holds the peers whose last call failed.
+	failing map[string]bool
+	// calls are the calls under way, by peer; finished gets them when they end.
+	calls    map[string]*peerCall
+	finished chan *peerCall
+	running  sync.WaitGroup
+	// round and stage are the numbers of the present round of polls, and of its stage.
+	round, stage int
 	// hostsLearnedAt is when a peer was last asked for other hosts.
 	hostsLearnedAt time.Time
 }
@@ -30,7 +36,8 @@
 		client: &http.Client{Transport: &http.Transport{
 			DialContext: dialer.DialContext, IdleConnTimeout: peerIdleTimeout, MaxResponseHeaderBytes: maxStateHeadBytes,
 		}},
-		cursors: map[string]*peerCursor{}, refused: map[string]bool{},
+		cursors: map[string]*peerCursor{}, refused: map[string]bool{}, failing: map[string]bool{},
+		calls: map[string]*peerCall{}, finished: make(chan *peerCall),
 	}
 }
 
@@ -69,89 +76,22 @@
 	return changed
 }
 
+// maxCursors limits the positions that are kept. A host polls a few leaders and, while
+// none of them is fresh, other hosts.
+const maxCursors = 32
+
 // cursor returns the position at a peer, and creates it if there is none.
 func (p *peerSet) cursor(peer string) *peerCursor {
 	cursor := p.cursors[peer]
 	if cursor == nil {
+		for other := range p.cursors {
+			if len(p.cursors) >= maxCursors && other != p.current && p.calls[other] == nil {
+				delete(p.cursors, other)
+				delete(p.failing, other)
+			}
+		}
 		cursor = &peerCursor{peer: peer}
 		p.cursors[peer] = cursor
 	}
 	return cursor
 }
-
-// pollPeers asks the peers until one answers with a fresh state. If none does, it
-// tells the Leadership, learns from other hosts, and records an outage of the source
-// unless one of them has a fresh state.
-func (c *Catalog) pollPeers(ctx context.Context, p *peerSet) {
-	list := c.options.Leadership.Peers()
-	for i, peer := range p.candidates(list, time.Now()) {
-		if c.tryPeer(ctx, p, peer, i == 0 && peer == list[0]) || ctx.Err() != nil {
-			return
-		}
-	}
-	c.options.Leadership.ReportLeaderless()
-	if c.learnFromOthers(ctx, p) {
-		return
-	}
-	c.mu.Lock()
-	c.servers.noteSourceLost(time.Now())
-	c.mu.Unlock()
-}
-
-// learnFromOthers applies the states of hosts that do not lead and reports whether one
-// was fresh. They are not followed, so that a host that can use the store still does
-// what a host without a leader must do. They name the leaders to the other ones.
-func (c *Catalog) learnFromOthers(ctx context.Context, p *peerSet) bool {
-	others := c.options.Leadership.OtherPeers()
-	for _, peer := range others[:min(len(others), maxOtherPeersPerRound)] {
-		cursor := p.cursor(peer)
-		cursor.follows, cursor.wantsHosts = false, true
-		err := c.pollPeer(ctx, p.client, cursor, neverFollow)
-		var stale *StaleStateError
-		switch {
-		case ctx.Err() != nil:
-			return true
-		case !errors.As(err, &stale):
-			delete(p.cursors, peer)
-		case stale.Age <= maxPeerStateAge:
-			return true
-		}
-	}
-	return false
-}
-
-// tryPeer polls a peer and reports whether it can be followed, in which case it
-// becomes the current one. preferred is as for setCurrent.
-func (c *Catalog) tryPeer(ctx context.Context, p *peerSet, peer string, preferred bool) bool {
-	now := time.Now()
-	cursor := p.cursor(peer)
-	cursor.follows = p.current == peer && !c.options.Leadership.Leads()
-	cursor.wantsHosts = now.Sub(p.hostsLearnedAt) >= hostSampleInterval
-	err := c.pollPeer(ctx, p.client, cursor, maxPeerStateAge)
-	if err == nil {
-		if cursor.wantsHosts {
-			p.hostsLearnedAt = now
-		}
-		if p.setCurrent(peer, preferred, time.Now()) {
-			c.options.Logger.WithField("peer", peer).Info("peer followed")
-		}
-		return true
-	}
-	if ctx.Err() != nil {
-		return false
-	}
-	var stale *StaleStateError
-	if !errors.As(err, &stale) {
-		delete(p.cursors, peer)
-	}
-	c.options.Scope.Counter("relay_failed").Inc(1)
-	first := p.noteRefused(peer)
-	switch {
-	case p.current == peer:
-		p.current, p.heldUntil = "", time.Time{}
-		c.options.Logger.WithError(err).WithField("peer", peer).Info("peer not followed any more")
-	case first:
-		c.options.Logger.WithError(err).WithField("peer", peer).Info("peer can't be followed")
-	}
-	return false
-}
--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -63,6 +63,8 @@
 type peerCursor struct {
 	peer    string // address, "ip:port"
 	follows bool   // tells the peer to count this host as a follower
+	// onHead, if set, is called when the head of an answer has arrived.
+	onHead func()
 	// wantsHosts asks the peer for the addresses of some hosts.
 	wantsHosts bool
 	version    uint64 // of the routing table that this host has
@@ -117,6 +119,10 @@
 		answer.Quarantine, answer.QuarantineRevision = c.options.Quarantine.Since(position("quarantine"))
 	}
 	w.Header().Set("Content-Type", "application/json")
+	if answer.Full {
+		// It takes a while to encode. The head shows the host that this one is not suspended.
+		_ = http.NewResponseController(w).Flush()
+	}
 	if err := json.NewEncoder(w).Encode(answer); err != nil {
 		c.options.Logger.WithError(err).Warn("state not delivered to a peer")
 	}
@@ -198,7 +204,11 @@
 // answers from the source. It returns when ctx ends.
 func (c *Catalog) followPeers(ctx context.Context) {
 	p := newPeerSet()
+	if c.options.PeerTransport != nil {
+		p.client = &http.Client{Transport: c.options.PeerTransport}
+	}
 	defer p.client.CloseIdleConnections()
+	defer p.running.Wait()
 	for ctx.Err() == nil {
 		if !c.reads() || c.failingWatches.Load() > 0 || !c.isFresh() {
 			c.pollPeers(ctx, p)
@@ -231,7 +241,7 @@
 // pollPeer fetches and applies the state of a peer after a position, and advances
 // the position. A state older than maxAge gives *StaleStateError: what is later in it
 // than the known state is applied, but the peer can't be followed, and a host without
-// a state does not begin with it.
+// a state does not begin with it. A failed call leaves the position as it is.
 func (c *Catalog) pollPeer(ctx context.Context, client *http.Client, cursor *peerCursor, maxAge time.Duration) error {
 	if view := c.View(); view != nil {
 		cursor.version = view.Table.Version
@@ -254,7 +264,11 @@
 	answer.asked = cursor.known
 	stale := answer.Age > maxAge
 	if stale && !c.hasState() {
-		// It may name servers that have left and routes that were withdrawn.
+		// It may name servers that have left. A newer routing table reverts nothing, unless
+		// this host has none: the routes of the first one may have been withdrawn.
+		if answer.Table != nil && c.View() != nil {
+			c.SetTable(answer.Table, "old state of a peer")
+		}
 		return &StaleStateError{Peer: cursor.peer, Age: answer.Age}
 	}
 	if answer.Table != nil {
@@ -390,6 +404,9 @@
 		return nil, errors.WithStack(err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if cursor.onHead != nil {
+		cursor.onHead()
+	}
 	if response.StatusCode != http.StatusOK {
 		return nil, &PeerError{Peer: cursor.peer, Problem: response.Status}
 	}
