Obey any stated time for which a replica wants no requests

Cause: a Retry-After of more than a minute counted as a fault of the replica and was ignored, so that 12 requests in 12 s reached a replica that had said 75 s.

Three ways past a backoff are closed: probes after a failed probe and routine ones, the probes of a silence check, and the repetition of a sub-request that was not sent. At most 32,768 incarnations are remembered.

--- a/internal/owner/health.go
+++ b/internal/owner/health.go
@@ -289,8 +289,10 @@
 	r.armProbeTimer()
 }
 
+// probeIdleConn makes a status call on an idle connection, if there is one. A replica that
+// wants no requests gets no status calls either.
 func (r *replica) probeIdleConn() {
-	if len(r.pool.idle) > 0 {
+	if len(r.pool.idle) > 0 && r.owner.BackoffOf(r.id) == 0 {
 		c := r.pool.takeLeastRecentlyUsed()
 		r.pool.reserve(c, time.Now())
 		c.jobs <- job{}
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -23,6 +23,7 @@
 	probes                tally.Counter
 	probesFailed          tally.Counter
 	cancelsSent           tally.Counter
+	longBackoffs          tally.Gauge
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -42,6 +43,7 @@
 		probes:                scope.Counter("probes"),
 		probesFailed:          scope.Counter("probes_failed"),
 		cancelsSent:           scope.Counter("cancels_sent"),
+		longBackoffs:          scope.Gauge("long_backoffs"),
 	}
 	for _, reason := range []wire.Reason{
 		wire.ReasonNone, wire.ReasonBadRequest, wire.ReasonQueueFull, wire.ReasonDeadlineTooShort,
--- a/internal/owner/notices.go
+++ b/internal/owner/notices.go
@@ -12,6 +12,12 @@
 	leavingRetention = 10 * time.Minute
 	// maxLeavingServers limits the incarnations that are remembered.
 	maxLeavingServers = 4096
+	// longBackoff is the time above which a backoff is shown as long. An operator must be
+	// able to tell a replica that is out for hours by its own wish from a lost one.
+	longBackoff = time.Minute
+	// maxBackoffServers limits the incarnations whose backoffs are remembered. Gone ones
+	// with long times would pile up; a forgotten one states its time again.
+	maxBackoffServers = 1 << 15
 )
 
 // notices are what servers say of themselves to this host: that they leave, or want no
@@ -21,10 +27,15 @@
 type notices struct {
 	leavingSince map[wire.ReplicaID]time.Duration
 	backoffUntil map[wire.ReplicaID]time.Duration
+	// long holds those of backoffUntil that asked for more than longBackoff.
+	long map[wire.ReplicaID]struct{}
 }
 
 func newNotices() notices {
-	return notices{leavingSince: map[wire.ReplicaID]time.Duration{}, backoffUntil: map[wire.ReplicaID]time.Duration{}}
+	return notices{
+		leavingSince: map[wire.ReplicaID]time.Duration{}, backoffUntil: map[wire.ReplicaID]time.Duration{},
+		long: map[wire.ReplicaID]struct{}{},
+	}
 }
 
 // noteLeaving records that a server leaves and reports whether that is new.
@@ -44,16 +55,57 @@
 // noteBackoff records that a server wants no requests for a time, and reports whether that
 // is longer than what it said before.
 func (n *notices) noteBackoff(id wire.ReplicaID, backoff, now time.Duration) bool {
-	for other, until := range n.backoffUntil {
+	n.forgetEnded(now)
+	until := now + backoff
+	if until <= max(now, n.backoffUntil[id]) {
+		return false
+	}
+	if len(n.backoffUntil) >= maxBackoffServers {
+		n.forgetLast()
+	}
+	n.backoffUntil[id] = until
+	if backoff > longBackoff {
+		n.long[id] = struct{}{}
+	}
+	return true
+}
+
+// forgetEnded forgets the backoffs that are over.
+func (n *notices) forgetEnded(now time.Duration) {
+	for id, until := range n.backoffUntil {
 		if until <= now {
-			delete(n.backoffUntil, other)
+			delete(n.backoffUntil, id)
+			delete(n.long, id)
 		}
 	}
-	if until := now + backoff; until > max(now, n.backoffUntil[id]) {
-		n.backoffUntil[id] = until
-		return true
+}
+
+// forgetLast forgets the backoff that ends last.
+func (n *notices) forgetLast() {
+	var last wire.ReplicaID
+	for id, until := range n.backoffUntil {
+		if until >= n.backoffUntil[last] {
+			last = id
+		}
 	}
-	return false
+	delete(n.backoffUntil, last)
+	delete(n.long, last)
+}
+
+// showLongBackoffs updates the gauge of the configured replicas that want no requests for
+// a long time.
+func (o *Owner) showLongBackoffs() {
+	table := o.table.Load()
+	count := 0
+	o.noticesMu.Lock()
+	now := o.options.Clock()
+	for id := range o.notices.long {
+		if table.replicas[id] != nil && o.notices.backoffUntil[id] > now {
+			count++
+		}
+	}
+	o.noticesMu.Unlock()
+	o.metrics.longBackoffs.Update(float64(count))
 }
 
 // hasLeft reports whether a server has said that it leaves.
@@ -96,6 +148,9 @@
 	}
 	if longer {
 		fx.log("replica asked to back off", logFields(r, "for", backoff))
+		if backoff > longBackoff {
+			fx.log("replica out of use for long at its own request", logFields(r, "for", backoff))
+		}
 		r.refuseAllQueued(wire.ReasonBackoff, fx)
 		r.beginSlowStart() // it gets a few sub-requests first when the time is over
 	}
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -134,7 +134,8 @@
 	if err == nil || !notSent(err) {
 		return false
 	}
-	if a.unsentRetries >= maxUnsentRetries || !a.deadline.After(now) || r.removed || r.closed || r.health.draining() {
+	if a.unsentRetries >= maxUnsentRetries || !a.deadline.After(now) || r.removed || r.closed || r.health.draining() ||
+		r.owner.BackoffOf(r.id) > 0 {
 		return false
 	}
 	if !a.transition(stateSent, stateQueued) {
--- a/internal/owner/silence.go
+++ b/internal/owner/silence.go
@@ -130,7 +130,10 @@
 		}
 		return end
 	}
+	backoff := r.owner.BackoffOf(r.id)
 	switch {
+	case len(suspects) > 0 && backoff > 0:
+		return now.Add(backoff) // the probes of a check would reach the replica
 	case len(suspects) == 0 || !r.owned || r.health.draining():
 		// A host that isn't the owner, or a draining replica, has at most one
 		// connection, so that none is left to compare.
