quota: lose fewer requests while a grantor is silent or replaced

Requests now wait up to 400 ms for a grantor that may answer soon, hosts that leave state what they hold, and buckets keep their level when groups change.

--- a/internal/quota/grantor.go
+++ b/internal/quota/grantor.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -89,11 +90,12 @@
 // bucket is the token bucket of one account. Credits that hosts hold are reserved, and
 // taken off the level when they are used.
 type bucket struct {
-	level    float64
-	reserved int
-	refilled float64 // sum of refill of its groups at the last update
-	promised time.Duration
-	limit    limit
+	level     float64
+	reserved  int
+	refilled  float64 // sum of refill of its groups at the last update
+	updatedAt time.Duration
+	promised  time.Duration
+	limit     limit
 }
 
 func newGrantor(limitOf func(*accountReport) limit) *grantor {
@@ -108,6 +110,7 @@
 		return nil, err
 	}
 	if r.Leaving || r.Ended {
+		g.settle(m, r.Accounts)
 		g.silence(m, now)
 		m.gone = r.Ended
 		return &answer{Accounts: make([]accountAnswer, len(r.Accounts))}, nil
@@ -121,13 +124,39 @@
 		reported[r.Accounts[i].Name] = struct{}{}
 		out.Accounts[i] = g.grant(m, &r.Accounts[i], now)
 	}
+	g.releaseOthers(m, reported)
+	return out, nil
+}
+
+// settle takes what a member that leaves states of its credits. Those that it does not
+// hold any more, and has not used, go back to the buckets.
+func (g *grantor) settle(m *member, accounts []accountReport) {
+	reported := make(map[string]struct{}, len(accounts))
+	for i := range accounts {
+		a := &accounts[i]
+		reported[a.Name] = struct{}{}
+		if c, b := m.credits[a.Name], g.buckets[a.Name]; c != nil && b != nil && c.epoch == a.Epoch {
+			b.settle(c, a)
+		}
+	}
+	g.releaseOthers(m, reported)
+}
+
+// releaseOthers returns the credits of accounts that a member did not report: it holds none.
+func (g *grantor) releaseOthers(m *member, reported map[string]struct{}) {
 	for name, c := range m.credits {
 		if _, ok := reported[name]; !ok {
 			g.release(name, c.held)
 			delete(m.credits, name)
 		}
 	}
-	return out, nil
+}
+
+// settle takes off the bucket what a member has used of its credits.
+func (b *bucket) settle(c *credits, a *accountReport) {
+	b.level -= float64(a.Used - c.used)
+	b.reserved += a.Held - c.held
+	c.used, c.held = a.Used, a.Held
 }
 
 // memberOf returns the member that a report is from.
@@ -158,7 +187,7 @@
 			return errors.WithStack(&FullError{What: "lists of leaders"})
 		}
 		to = g.newGroup(r, now)
-		g.groups[key] = to
+		g.changeGroups(now, func() { g.groups[key] = to })
 	}
 	if m.group != to {
 		if m.group != nil {
@@ -211,9 +240,11 @@
 		}
 	}
 	g.sweptAt = now
-	for key, gr := range g.groups {
+	for _, gr := range g.groups {
 		if gr.count == 0 {
-			delete(g.groups, key)
+			isEmpty := func(_ string, gr *group) bool { return gr.count == 0 }
+			g.changeGroups(now, func() { maps.DeleteFunc(g.groups, isEmpty) })
+			return
 		}
 	}
 }
@@ -287,34 +318,73 @@
 // of all hosts that get its credits here. It is nil if there is no room for it.
 func (g *grantor) bucketOf(a *accountReport, now time.Duration) (*bucket, float64) {
 	l := g.limitOf(a)
-	refill, count, settled := 0.0, 0, true
-	for _, gr := range g.groups {
-		if gr.grants(a.Name) {
-			refill += gr.refill
-			count += gr.count
-			settled = settled && (now >= gr.settledAt || !gr.brings(a.Name))
-		}
-	}
-	part := float64(count) / g.denominator()
-	// At least 1: a request has room if it waits.
-	capacity := max(1, part*(l.burst+spareRoom*l.room))
+	part := g.part(a.Name)
 	b := g.buckets[a.Name]
 	if b == nil {
 		if len(g.buckets) >= maxBuckets && !g.evict() {
 			return nil, part
 		}
-		b = &bucket{level: capacity, refilled: refill}
-		if !settled {
-			b.level = min(capacity, handoverRoom*l.room)
+		b = &bucket{level: capacity(l, part), refilled: g.refillOf(a.Name), updatedAt: now}
+		if !g.isSettled(a.Name, now) {
+			b.level = handoverRoom * l.room
 		}
 		g.buckets[a.Name] = b
 	}
 	b.limit = l
-	b.level = min(capacity, b.level+l.rate*max(0, refill-b.refilled))
-	b.refilled = refill
+	b.refill(g.refillOf(a.Name), part, now)
 	return b, part
 }
 
+// capacity returns how many requests the bucket of an account holds at most, for a part
+// of all hosts. It is at least 1, so that a request has room if it waits.
+func capacity(l limit, part float64) float64 {
+	return max(1, part*(l.burst+spareRoom*l.room))
+}
+
+// refill adds to the bucket what the hosts of its groups brought. What is above the
+// capacity, because hosts have left, is lost only as fast as those hosts get it elsewhere.
+// Else the bucket would be empty when they come back.
+func (b *bucket) refill(sum, part float64, now time.Duration) {
+	here := max(0, sum-b.refilled)
+	elsewhere := max(0, (now-b.updatedAt).Seconds()-here)
+	kept := min(b.level-b.limit.rate*elsewhere, capacity(b.limit, 1))
+	b.level = max(kept, min(b.level+b.limit.rate*here, capacity(b.limit, part)))
+	b.refilled, b.updatedAt = sum, now
+}
+
+// refillOf returns the sum of refill of the groups that get their credits of an account
+// here.
+func (g *grantor) refillOf(account string) float64 {
+	sum := 0.0
+	for _, gr := range g.groups {
+		if gr.grants(account) {
+			sum += gr.refill
+		}
+	}
+	return sum
+}
+
+// isSettled reports whether no other grantor has granted credits of an account lately.
+func (g *grantor) isSettled(account string, now time.Duration) bool {
+	for _, gr := range g.groups {
+		if now < gr.settledAt && gr.brings(account) {
+			return false
+		}
+	}
+	return true
+}
+
+// changeGroups refills all buckets, and changes the groups.
+func (g *grantor) changeGroups(now time.Duration, change func()) {
+	for name, b := range g.buckets {
+		b.refill(g.refillOf(name), g.part(name), now)
+	}
+	change()
+	for name, b := range g.buckets {
+		b.refilled = g.refillOf(name)
+	}
+}
+
 // part returns the part of all hosts that get their credits of an account here.
 func (g *grantor) part(account string) float64 {
 	count := 0
@@ -352,10 +422,7 @@
 		c = &credits{epoch: a.Epoch, used: a.Used}
 		m.credits[a.Name] = c
 	}
-	b.level -= float64(a.Used - c.used)
-	b.reserved += a.Held - c.held
-	c.used, c.held = a.Used, a.Held
-
+	b.settle(c, a)
 	free := b.level - float64(b.reserved)
 	granted := min(a.Waiting, whole(free))
 	left := free - float64(granted)
--- a/internal/quota/link.go
+++ b/internal/quota/link.go
@@ -65,7 +65,7 @@
 		for _, s := range due {
 			go r.exchange(s)
 		}
-		timer := time.NewTimer(max(time.Millisecond, min(next-now, newsInterval)))
+		timer := time.NewTimer(max(time.Millisecond, next-now))
 		select {
 		case <-timer.C:
 		case <-r.wake:
@@ -99,10 +99,10 @@
 
 // step returns the reports that are due, and when it should be called again.
 func (r *Registry) step(now time.Duration) (due []sending, next time.Duration) {
-	next = now + newsInterval
 	if !r.accounts().limited {
-		return nil, next
+		return nil, now + maintenanceInterval
 	}
+	next = now + newsInterval
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.updateLeaders(now)
@@ -151,18 +151,20 @@
 		// uses its share.
 		Leaving: r.leaving || l.lost,
 	}
-	if !q.Leaving {
-		for _, u := range r.uses {
-			if chooseGrantor(r.leaders, u.name) != l.address || len(q.Accounts) >= maxReported {
-				continue
-			}
-			if a, ok := u.state(now); ok {
-				q.Accounts = append(q.Accounts, a)
-				for _, w := range u.waiting {
-					w.stated = true
-				}
-			}
+	for _, u := range r.uses {
+		if chooseGrantor(r.leaders, u.name) != l.address || len(q.Accounts) >= maxReported {
+			continue
 		}
+		a, ok := u.state(now)
+		if !ok {
+			continue
+		}
+		q.Accounts = append(q.Accounts, a)
+		for _, w := range u.waiting {
+			w.stated = !q.Leaving
+		}
+	}
+	if !q.Leaving {
 		// An answer that is lost does not show whether the report was.
 		l.countedUntil = now + countedTime(r.hostCount())
 	}
@@ -212,16 +214,17 @@
 		if err == nil && !r.leaving {
 			u.learn(stated, &a.Accounts[i], s.sentAt, s.report.Hold, now)
 		}
-		r.settle(u)
+		r.settle(u, err == nil)
 	}
 }
 
-// settle decides about the requests that wait. The caller holds mu.
-func (r *Registry) settle(u *use) {
+// settle decides about the requests that wait, after a report was answered or not. The
+// caller holds mu.
+func (r *Registry) settle(u *use, answered bool) {
 	var left []*waiter
 	for _, w := range u.waiting {
 		// A request that came during the exchange waits for its own, unless a credit is left.
-		if a := r.decide(u, w.stated && !r.leaving); a != nil {
+		if a := r.decide(u, w.stated && answered && !r.leaving); a != nil {
 			w.result <- a
 			continue
 		}
@@ -296,7 +299,7 @@
 	if !r.leaving {
 		r.leaving = true
 		for _, u := range r.uses {
-			u.held, u.acked = 0, u.used
+			u.held = 0
 		}
 	}
 	for _, l := range r.links {
--- a/internal/quota/messages.go
+++ b/internal/quota/messages.go
@@ -32,8 +32,9 @@
 	// Hold is how long credits are valid after the report was sent, and how long the
 	// grantor counts the host after the report arrived.
 	Hold time.Duration `json:"hold"`
-	// Leaving is whether the host has dropped its credits, because it is about to use
-	// another list of leaders. Ended is whether it stops as well and uses no share.
+	// Leaving is whether the host must not be counted: it is about to use another list of
+	// leaders, or had no answer and uses its share. Ended is whether it stops and uses no
+	// share either.
 	Leaving bool `json:"leaving,omitempty"`
 	Ended   bool `json:"ended,omitempty"`
 	// Accounts has each account of which the host holds a credit.
--- a/internal/quota/registry.go
+++ b/internal/quota/registry.go
@@ -21,9 +21,13 @@
 )
 
 const (
-	// waitTimeout is the longest time that a request waits for a credit: a few round trips
-	// between data centres, and the time until a host may send its next report.
-	waitTimeout = 150 * time.Millisecond
+	// waitTimeout is the longest time that a request waits for a credit. A grantor that
+	// answers takes a few round trips between data centres and the time until a host may send
+	// its next report, some 110 ms. The rest is for one that is stalled, and for the change
+	// to the next leader.
+	waitTimeout = 400 * time.Millisecond
+	// startTime is how long after its start a host may not know the leaders yet.
+	startTime = 5 * time.Second
 	// quietTime is how long an account must have had no refusal at this host to be logged
 	// as below its quota.
 	quietTime = 10 * time.Second
@@ -35,6 +39,7 @@
 	options   Options
 	metrics   metrics
 	process   uint64
+	startedAt time.Duration
 	hosts     atomic.Int32 // number of hosts, 0: unknown
 	directory atomic.Pointer[directory]
 	wake      chan struct{} // wakes Run; holds one value at most
@@ -77,7 +82,8 @@
 		uses: map[string]*use{}, links: map[string]*link{}, refusals: map[string]int{},
 	}
 	r.grantor = newGrantor(r.limitOf)
-	r.noLeader = options.Clock()
+	r.startedAt = options.Clock()
+	r.noLeader = r.startedAt
 	return r, nil
 }
 
@@ -216,13 +222,24 @@
 		u.metrics.share.Inc(1)
 		return r.admit(u, func() { u.taken-- })
 	}
-	if l != nil && len(r.links) > 1 {
-		// Another leader grants the account when this one counts the host no more.
-		retryAfter = min(retryAfter, l.countedUntil-now+lostRetry)
+	if soon := r.mayAnswerSoon(l, now); soon && !final {
+		return nil
+	} else if soon {
+		retryAfter = lostRetry
 	}
 	return r.refuse(u, &ExceededError{Account: u.name, RetryAfter: max(lostRetry, retryAfter), OwnShare: true})
 }
 
+// mayAnswerSoon reports whether a leader that does not answer may be stalled only, or be
+// replaced by the next one within waitTimeout or a little more, or whether none is known
+// yet. l is nil if there is no leader. The caller holds mu.
+func (r *Registry) mayAnswerSoon(l *link, now time.Duration) bool {
+	if l == nil {
+		return now-r.startedAt < startTime
+	}
+	return now < l.countedUntil
+}
+
 // outageOf returns since when a host has been without an answer of a leader, nil if there
 // is none. The caller holds mu.
 func (r *Registry) outageOf(l *link) outage {
