--- a/internal/quota/host.go
+++ b/internal/quota/host.go
@@ -175,8 +175,8 @@
 	}
 	reduced := max(0, min(now, o.countedUntil)-u.sharedAt)
 	full := max(0, now-max(u.sharedAt, o.countedUntil))
-	// The room kept for it is for the time in which the grantor counts all hosts.
-	part := min(1, shareRoom*u.limit.room/(u.limit.rate*countedTime(o.hosts).Seconds()))
+	// The slack kept for it is for the time in which the grantor counts all hosts.
+	part := min(1, shareSlack*u.limit.slack/(u.limit.rate*countedTime(o.hosts).Seconds()))
 	u.position += perSecond * (part*reduced.Seconds() + full.Seconds())
 	u.sharedAt = now
 	kept := max(u.limit.burst, u.limit.rate*minShareValidity.Seconds()) / float64(o.hosts)
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -17,42 +17,46 @@
 // DefaultBounds are those of the users' platform.
 var DefaultBounds = Bounds{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
 
-// Parts of the room between the quota and the bound.
+// Parts of the slack. They add up to 1, so that the bound holds while grantors change.
 const (
-	bucketRoom   = 0.5  // for the buckets of the grantors
-	handoverRoom = 0.25 // for a bucket whose use before is not known
-	shareRoom    = 0.25 // for what hosts admit by a share while a grantor may still count them
+	bucketSlack   = 0.5 // for the buckets of the grantors
+	handoverSlack = 0.3 // for a bucket whose use before is not known
+	shareSlack    = 0.2 // for what hosts admit by a share while a grantor may still count them
 )
 
-// spareRoom is the part of the room, out of bucketRoom, for credits that hosts hold in
-// advance. The rest of a bucket is kept for requests at any host.
-const spareRoom = 0.25
+// spareRoom is the part of what the bound leaves above the quota that hosts may hold as
+// credits in advance. The rest of a bucket is kept for requests at any host.
+const spareRoom = 0.15
 
 // limit is the quota of one account.
 type limit struct {
 	rate  float64 // requests a second
 	burst float64 // requests; at least 1, else no request would ever fit
-	room  float64 // what the bound leaves above the quota, in requests
+	slack float64 // requests
+	spare float64 // credits that hosts may hold in advance
 
 	// capacity and refill, a second, are those of the token bucket. In each Window, it
-	// admits capacity + refill × Window = rate × Window + burst + bucketRoom × room.
+	// admits capacity + refill × Window at most, which leaves a part of the slack.
 	capacity, refill float64
 }
 
-// limit returns a quota. An account whose use varies about its rate is served better by a
-// faster refill than by a larger bucket, so a part of the burst is spread over the window.
-// The bucket still holds burst requests at one moment, besides the credits in advance.
+// limit returns a quota. The bucket holds burst requests at one moment besides the credits
+// in advance. What the bound allows beyond that is spread over the window, because an
+// account whose use varies about its rate is served better by a faster refill than by a
+// larger bucket.
 func (b Bounds) limit(ratePerSecond, burst float64) limit {
-	burst = max(1, burst)
-	l := limit{rate: ratePerSecond, burst: burst, room: b.Overage*(ratePerSecond*b.Window.Seconds()+burst) + b.Slack}
-	spread := min(burst, (bucketRoom-spareRoom)*l.room)
-	l.capacity = burst + bucketRoom*l.room - spread
-	l.refill = ratePerSecond + spread/b.Window.Seconds()
+	l := limit{rate: ratePerSecond, burst: max(1, burst), slack: b.Slack}
+	window := b.Window.Seconds()
+	sustained := (l.rate*window + l.burst) * (1 + b.Overage)
+	room := sustained - l.rate*window - l.burst + b.Slack
+	l.spare = spareRoom * room
+	l.capacity = max(l.burst+l.spare, bucketSlack*b.Slack)
+	l.refill = (sustained + bucketSlack*b.Slack - l.capacity) / window
 	return l
 }
 
 // kept is what a full bucket holds for requests at any host.
-func (l limit) kept() float64 { return l.capacity - spareRoom*l.room }
+func (l limit) kept() float64 { return l.capacity - l.spare }
 
 // chooseGrantor returns the leader that grants the credits of an account: the one with
 // the greatest hash of both (rendezvous hashing), "" if there is no leader.
