--- a/internal/catalog/position_test.go
+++ b/internal/catalog/position_test.go
@@ -1,7 +1,10 @@
 package catalog
 
 import (
+	"net/http"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -83,3 +86,33 @@
 	g.Expect(c.servers.dropLapsedAt).To(BeEmpty())
 	g.Expect(c.changes.newest).To(Equal(before + 1))
 }
+
+// Guards against hosts that know different servers for good after a restoration of the
+// source, because each had learned others in the era before: in the model, a server that
+// was kept as lapsed by one host only, which then stopped.
+func TestHostComparesWithItsPeerAfterARestoration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		gone, stays := newServer("i-1", "a"), newServer("i-2", "b")
+		peer := newCatalogAt(t, 10, gone, stays)
+		host := newCatalogAt(t, 10, gone, stays)
+		transport := &memoryPeers{peers: map[string]*Catalog{"p": peer}, asked: map[string]int{}}
+		cursor := &peerCursor{peer: "p"}
+		poll := func() {
+			err := host.pollPeer(t.Context(), &http.Client{Transport: transport}, cursor, unlimitedAge)
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		poll()
+		restored := history.Position{Era: 2, Revision: 9}
+		peer.setServers([]Server{stays}, restored, at(10))
+		poll()
+		peer.servers.drop(gone, time.Now()) // as if the peer had never known it
+		time.Sleep(reregisterGrace)
+		poll()
+		g.Expect(host.Servers()).To(HaveLen(2))
+		time.Sleep(time.Millisecond)
+		poll()
+		g.Expect(host.Servers()).To(ConsistOf(stays))
+		g.Expect(host.mustCompare(cursor)).To(BeFalse(), "once is enough")
+	})
+}
