Take data centres out of use by an entry of the operators

Operators must be able to take the replicas of a data centre out of use on all hosts within 5 s, and put them back. Change: the read and the watch of op/ return the entries op/evacuate/ZONE beside the routing table; no call to the store is added. internal/catalog keeps the whole set with the position at which it holds, passes it on in peerState, and never goes back to an earlier position; a later era replaces it. internal/owner refuses queued and new sub-requests there as not run (reason evacuated), closes idle connections, opens none, and begins with a slow start at the return. internal/ratelimit asks for no permits there, and a host does not count as cut off because replicas are out of use. Source.Table and WatchTable return OperatorEntries in place of a table. The fake source of catalog's tests returns the new type; the stand-in replica records its connections and has a data centre of its own.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -18,6 +18,8 @@
 type View struct {
 	Table  *routing.Table
 	Config *release.Config
+	// Evacuated are the data centres whose replicas are out of use, sorted.
+	Evacuated []string
 	// healthPaths are the health check paths, by server id, that differ from
 	// routing.DefaultHealthPath.
 	healthPaths map[string]string
@@ -33,8 +35,10 @@
 	table   *routing.Table
 	servers serverTable
 	share   Share
-	settled bool // see settleAfterStart
-	changes changeLog
+	// evacuated are the data centres out of use, with a position of their own.
+	evacuated evacuatedSet
+	settled   bool // see settleAfterStart
+	changes   changeLog
 	// position is the source position up to which server changes are applied.
 	position history.Position
 	// tableHeardAt and serversHeardAt are the times of Options.Clock at which
@@ -54,7 +58,7 @@
 		return nil, err
 	}
 	return &Catalog{
-		options: options, servers: newServerTable(), share: Share{Hosts: defaultHosts}, settled: options.Leadership == nil,
+		options: options, servers: newServerTable(), evacuated: evacuatedSet{names: map[string]bool{}}, share: Share{Hosts: defaultHosts}, settled: options.Leadership == nil,
 		changes:      changeLog{run: time.Now().UnixNano()},
 		tableHeardAt: -neverHeardAge, serversHeardAt: -neverHeardAge,
 	}, nil
@@ -296,6 +300,8 @@
 		Table:  c.table,
 		Config: newConfigBuilder(&c.options, c.share, c.settled, c.servers.known, previous).build(c.table),
 
+		Evacuated: c.evacuated.sorted(),
+
 		healthPaths: healthPaths(c.table, c.servers.known),
 	}
 	c.view.Store(view)
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -33,6 +33,11 @@
 	err         error // returned by every call if set
 	historyGone bool  // the next watch of the servers fails with *HistoryGoneError
 	calls       int   // reads, without watches
+	// evacuated are the evacuations in force, evacuations all their changes.
+	evacuated   map[string]bool
+	evacuations []loggedEvacuation
+	// tableHistoryGone makes the next watch of the table fail with *HistoryGoneError.
+	tableHistoryGone bool
 }
 
 type loggedChange struct {
@@ -40,6 +45,11 @@
 	revision uint64
 }
 
+type loggedEvacuation struct {
+	Evacuation
+	revision uint64
+}
+
 type sourceError struct{}
 
 func (sourceError) Error() string { return "source unavailable" }
@@ -93,27 +103,42 @@
 	return s.err
 }
 
-func (s *fakeSource) Table(context.Context) (*routing.Table, history.Position, error) {
+func (s *fakeSource) Table(context.Context) (OperatorEntries, history.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.readTable(), s.position(), s.countCall()
+	entries := OperatorEntries{Table: s.readTable()}
+	for name := range s.evacuated {
+		entries.Evacuations = append(entries.Evacuations, Evacuation{DataCentre: name})
+	}
+	return entries, s.position(), s.countCall()
 }
 
-func (s *fakeSource) WatchTable(ctx context.Context, after history.Position, wait time.Duration) (*routing.Table, history.Position, error) {
+func (s *fakeSource) WatchTable(ctx context.Context, after history.Position, wait time.Duration) (OperatorEntries, history.Position, error) {
 	end := time.Now().Add(wait)
 	for {
 		s.mu.Lock()
-		table, tableRev, position, err := s.readTable(), s.tableRev, s.position(), s.err
+		var entries OperatorEntries
+		position, err := s.position(), s.err
+		if s.tableRev > after.Revision {
+			entries.Table = s.readTable()
+		}
+		for _, change := range s.evacuations {
+			if change.revision > after.Revision {
+				entries.Evacuations = append(entries.Evacuations, change.Evacuation)
+			}
+		}
+		gone := s.tableHistoryGone
+		s.tableHistoryGone = false
 		s.mu.Unlock()
 		switch {
+		case gone:
+			return OperatorEntries{}, history.Position{}, &HistoryGoneError{After: after}
 		case err != nil:
-			return nil, history.Position{}, err
-		case tableRev > after.Revision:
-			return table, position, nil
-		case !time.Now().Before(end):
-			return nil, position, nil
+			return OperatorEntries{}, history.Position{}, err
+		case entries.Table != nil || len(entries.Evacuations) > 0 || !time.Now().Before(end):
+			return entries, position, nil
 		case ctx.Err() != nil:
-			return nil, history.Position{}, ctx.Err()
+			return OperatorEntries{}, history.Position{}, ctx.Err()
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
--- a/internal/catalog/follow_source.go
+++ b/internal/catalog/follow_source.go
@@ -142,13 +142,14 @@
 		}
 		callCtx, cancel := context.WithTimeout(ctx, c.options.TableWait+c.options.CallTimeout)
 		defer cancel()
-		table, next, err := c.options.Source.WatchTable(callCtx, at, c.options.TableWait)
+		entries, next, err := c.options.Source.WatchTable(callCtx, at, c.options.TableWait)
 		if err != nil {
 			return resetIfHistoryGone(err, &at)
 		}
 		c.noteTableAnswer()
-		if table != nil {
-			c.SetTable(table, "watch")
+		c.applyEvacuationChanges(entries.Evacuations, next)
+		if entries.Table != nil {
+			c.SetTable(entries.Table, "watch")
 		}
 		at = next
 		return nil
@@ -158,13 +159,14 @@
 func (c *Catalog) readTable(ctx context.Context, at *history.Position) error {
 	callCtx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
 	defer cancel()
-	table, next, err := c.options.Source.Table(callCtx)
+	entries, next, err := c.options.Source.Table(callCtx)
 	if err != nil {
 		return err
 	}
 	c.noteTableAnswer()
-	if table != nil {
-		c.SetTable(table, "read")
+	c.applyEvacuationRead(entries.Evacuations, next)
+	if entries.Table != nil {
+		c.SetTable(entries.Table, "read")
 	}
 	*at = next
 	return nil
--- a/internal/catalog/peer_state.go
+++ b/internal/catalog/peer_state.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -53,6 +54,8 @@
 	// Revision is the source revision up to which this host knows the servers, in Era.
 	Revision uint64 `json:"revision"`
 	Era      uint64 `json:"era,omitempty"`
+	// Evacuated are the data centres out of use; nil if this host does not know them.
+	Evacuated *evacuatedState `json:"evacuated,omitempty"`
 	// Run and Newest are the position in the change log after this answer.
 	Run    int64  `json:"run"`
 	Newest uint64 `json:"next"`
@@ -85,6 +88,8 @@
 		return nil, errors.WithStack(&StateError{Problem: "its age is negative"})
 	case state.Table != nil && state.Table.Version == 0:
 		return nil, errors.WithStack(&StateError{Problem: "its routing table has no version"})
+	case state.Evacuated != nil && (state.Evacuated.Revision == 0 || slices.Contains(state.Evacuated.DataCentres, "")):
+		return nil, errors.WithStack(&StateError{Problem: "its evacuated data centres lack a position or a name"})
 	}
 	return &state, nil
 }
--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -135,6 +135,7 @@
 		return nil
 	}
 	answer := &peerState{Age: c.sourceAge(), Revision: c.position.Revision, Era: c.position.Era, Run: c.changes.run, Newest: c.changes.newest}
+	answer.Evacuated = c.evacuated.state()
 	if c.table.Version > p.version {
 		answer.Table = c.table
 	}
@@ -246,6 +247,7 @@
 		// It may name servers that have left and routes that were withdrawn.
 		return &StaleStateError{Peer: cursor.peer, Age: answer.Age}
 	}
+	c.applyPeerEvacuated(answer.Evacuated, cursor.peer)
 	if answer.Table != nil {
 		c.SetTable(answer.Table, "peer")
 	}
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -13,7 +13,6 @@
 	"github.com/arbutusgauge/arbutusgauge/internal/lead"
 	"github.com/arbutusgauge/arbutusgauge/internal/quarantine"
 	"github.com/arbutusgauge/arbutusgauge/internal/ratelimit"
-	"github.com/arbutusgauge/arbutusgauge/internal/routing"
 	"github.com/arbutusgauge/arbutusgauge/internal/wire"
 )
 
@@ -63,11 +62,11 @@
 // *HistoryGoneError if the changes after its position are no longer held, as after a
 // restoration. Each method also returns the position of its result.
 type Source interface {
-	// Table returns the newest routing table, or nil if there is none yet.
-	Table(ctx context.Context) (*routing.Table, history.Position, error)
-	// WatchTable waits up to wait for a table written after a position; a nil
-	// table means that there was none.
-	WatchTable(ctx context.Context, after history.Position, wait time.Duration) (*routing.Table, history.Position, error)
+	// Table returns the newest routing table and the evacuated data centres.
+	Table(ctx context.Context) (OperatorEntries, history.Position, error)
+	// WatchTable waits up to wait for a table or an evacuation that was written, or
+	// removed, after a position.
+	WatchTable(ctx context.Context, after history.Position, wait time.Duration) (OperatorEntries, history.Position, error)
 	// Servers returns all servers.
 	Servers(ctx context.Context) ([]Server, history.Position, error)
 	// WatchServers returns the changes after a position. If there are none, it
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -103,6 +103,7 @@
 		Clock:        boottime.Now,
 		Leaders:      h.permitLeaders.get,
 		DataCentreOf: func(replica wire.ReplicaID) string { return h.owner.DataCentreOf(replica) },
+		Unusable:     func(replica wire.ReplicaID) bool { return h.owner.Evacuated(replica) },
 		Transport:    ratelimit.NewHTTPTransport(),
 		Scope:        h.scope.SubScope("ratelimit"),
 		Logger:       h.log,
@@ -200,17 +201,19 @@
 		MinHedgeDelay: minHedgeDelay,
 		EstimateWait:  h.owner.EstimateWait,
 		RateLimited:   h.rateLimits.Limited,
-		BackoffOf:     h.owner.BackoffOf,
+		BackoffOf:     h.backoffOf,
 		Quarantined:   h.quarantine.Quarantined,
 		Scope:         h.scope.SubScope("scatter"),
 		Logger:        h.log,
 	})
 	h.reachability = &reachability{
 		isUsable:           h.owner.Usable,
+		isEvacuated:        h.owner.Evacuated,
 		lastHeardElsewhere: func() time.Time { return h.owner.LastHeardOutside(h.settings.DataCentre) },
 		log:                h.log,
 	}
 	h.catalog.OnChange(func(v *catalog.View) {
+		h.owner.SetEvacuated(v.Evacuated) // first, so that new replicas there get no connections
 		h.owner.SetConfig(v.Config)
 		h.engine.Retain(v.Config)
 		holding := holdingDataCentres(v.Config)
@@ -249,6 +252,15 @@
 	return aggregatorPeers(h.lead.Fleet(), lead.Host{DataCentre: h.settings.DataCentre, Cores: h.settings.Cores}, holding)
 }
 
+// backoffOf is Owner.BackoffOf, but 0 for a replica out of use: its return does not depend on
+// the time for which it wants no requests.
+func (h *Host) backoffOf(replica wire.ReplicaID) time.Duration {
+	if h.owner.Evacuated(replica) {
+		return 0
+	}
+	return h.owner.BackoffOf(replica)
+}
+
 // isLeaving reports whether callers and peers should use another host, because
 // this one is stopping or cut off.
 func (h *Host) isLeaving() bool { return h.stopping.Load() || h.reachability.isCutOff() }
--- a/internal/edge/reachability.go
+++ b/internal/edge/reachability.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,8 @@
 // requests.
 type reachability struct {
 	isUsable func(wire.ReplicaID) bool
+	// isEvacuated reports whether a replica is in a data centre out of use. Nil: none is.
+	isEvacuated func(wire.ReplicaID) bool
 	// lastHeardElsewhere returns when a replica of another data centre last
 	// answered or accepted a connection; zero: never.
 	lastHeardElsewhere func() time.Time
@@ -61,10 +64,15 @@
 
 // reachesEnoughShards reports whether at least minFraction, 0 to 1, of a service's
 // shards has a usable replica. A service without any replica counts as reached,
-// because no host can reach it.
+// because no host can reach it. The same holds for a shard whose replicas are all out
+// of use.
 func (r *reachability) reachesEnoughShards(service *release.Service, minFraction float64) bool {
-	reached, withReplicas := 0, 0
+	reached, withReplicas, shards := 0, 0, len(service.Shards)
 	for i := range service.Shards {
+		if r.isOutOfUse(&service.Shards[i]) {
+			shards--
+			continue
+		}
 		withReplicas += min(1, len(service.Shards[i].Replicas))
 		for _, replica := range service.Shards[i].Replicas {
 			if r.isUsable(replica.Addr) {
@@ -73,7 +81,15 @@
 			}
 		}
 	}
-	return withReplicas == 0 || reached > 0 && float64(reached) >= minFraction*float64(len(service.Shards))
+	return withReplicas == 0 || reached > 0 && float64(reached) >= minFraction*float64(shards)
+}
+
+// isOutOfUse reports whether a shard has replicas, all of them out of use.
+func (r *reachability) isOutOfUse(shard *release.Shard) bool {
+	if r.isEvacuated == nil || len(shard.Replicas) == 0 {
+		return false
+	}
+	return !slices.ContainsFunc(shard.Replicas, func(replica release.Replica) bool { return !r.isEvacuated(replica.Addr) })
 }
 
 // isCutOff reports whether the last call of canServe found this host cut off.
--- a/internal/edge/reachability_test.go
+++ b/internal/edge/reachability_test.go
@@ -58,3 +58,23 @@
 		g.Expect(r.isCutOff()).To(BeFalse())
 	})
 }
+
+// Guards against hosts that all leave the load balancer at once because the operators took a
+// data centre out of use, and against one that stays in it although it is cut off then.
+func TestHostStaysReadyWhileReplicasAreOutOfUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		usable, evacuated := 6, 4
+		r := &reachability{
+			isUsable:           func(id wire.ReplicaID) bool { return int(id[0]-'a') < usable },
+			isEvacuated:        func(id wire.ReplicaID) bool { return int(id[0]-'a') >= 10-evacuated },
+			lastHeardElsewhere: func() time.Time { return time.Time{} },
+			log:                &log.Logger{Handler: discard.Default},
+		}
+		g.Expect(r.canServe(newView(10))).To(BeTrue(), "all that are in use are usable")
+		usable = 4
+		g.Expect(r.canServe(newView(10))).To(BeFalse(), "4 of the 6 that are in use are too few")
+		usable, evacuated = 0, 10
+		g.Expect(r.canServe(newView(10))).To(BeTrue(), "no host can reach any")
+	})
+}
--- a/internal/owner/datacentre.go
+++ b/internal/owner/datacentre.go
@@ -34,6 +34,10 @@
 	waitingSinceNanos atomic.Int64 // Unix time in ns of the first sub-request sent since lastHeardNanos; 0 means none
 	silent            atomic.Bool
 	nextProbeAt       time.Time // of a silent data centre; used by Owner.Run only
+	// evacuated is set while the replicas are out of use; evacuatedAt is the last start of
+	// that, zero if there was none. Both are written under Owner.configMu.
+	evacuated   atomic.Bool
+	evacuatedAt time.Time
 }
 
 // dataCentreRegistry holds the data centres of all replicas configured so far.
--- a/internal/owner/endings.go
+++ b/internal/owner/endings.go
@@ -35,9 +35,9 @@
 
 // noteLostRun records a run whose connection the server closed, and dials the server:
 // if it refuses, it has ended. A server that lives, such as one that resets connections
-// or loses responses, accepts.
+// or loses responses, accepts. A data centre out of use gets no dials.
 func (r *replica) noteLostRun(a *attempt, began, now time.Time) {
-	if a.sub.Key.IsZero() || r.closed || r.removed {
+	if a.sub.Key.IsZero() || r.closed || r.removed || r.dataCentre.evacuated.Load() {
 		return
 	}
 	r.lostRuns = append(r.lostRuns, lostRun{key: a.sub.Key, began: began, lostAt: now})
--- a/internal/owner/estimate.go
+++ b/internal/owner/estimate.go
@@ -44,7 +44,7 @@
 // rate limit. The caller holds mu.
 func (r *replica) usable() bool {
 	return !r.removed && !r.closed && !r.health.draining() && !r.pool.unreachable() && !r.dataCentre.silent.Load() &&
-		r.owner.BackoffOf(r.id) == 0
+		!r.dataCentre.evacuated.Load() && r.owner.BackoffOf(r.id) == 0
 }
 
 // estimatedLatency returns the recent mean latency, halved for each
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -5,10 +5,13 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/arbutusgauge/arbutusgauge/internal/backend"
 	"github.com/arbutusgauge/arbutusgauge/internal/release"
 	"github.com/arbutusgauge/arbutusgauge/internal/wire"
@@ -62,6 +65,7 @@
 type fakeDialer struct {
 	mu      sync.Mutex
 	servers map[wire.ReplicaID]*fakeServer
+	dials   atomic.Int64 // begun
 }
 
 func (d *fakeDialer) server(id wire.ReplicaID) *fakeServer {
@@ -82,6 +86,7 @@
 }
 
 func (d *fakeDialer) Dial(_ context.Context, id wire.ReplicaID) (backend.Conn, error) {
+	d.dials.Add(1)
 	s := d.server(id)
 	s.mu.Lock()
 	cost := s.dialCost
@@ -290,6 +295,7 @@
 	replies   map[wire.SubRequestID][]wire.Reply
 	repliedAt map[wire.SubRequestID]time.Time // of the latest reply
 	nextSeq   uint64
+	scope     tally.TestScope
 	cancelRun context.CancelFunc
 	stopped   chan struct{}
 }
@@ -314,10 +320,11 @@
 func newHarness(t *testing.T, cfg *release.Config, settle bool, change ...func(*Options)) *harness {
 	h := &harness{
 		t: t, dialer: &fakeDialer{}, ownership: &ownership{}, leaving: map[wire.ReplicaID]bool{},
+		scope:   tally.NewTestScope("", nil),
 		replies: map[wire.SubRequestID][]wire.Reply{}, repliedAt: map[wire.SubRequestID]time.Time{}, stopped: make(chan struct{}),
 	}
 	options := Options{
-		DataCentre: "badin", Dialer: h.dialer, Ownership: h.ownership,
+		DataCentre: "badin", Dialer: h.dialer, Ownership: h.ownership, Scope: h.scope,
 		LeavingServer: func(id wire.ReplicaID) bool { h.mu.Lock(); defer h.mu.Unlock(); return h.leaving[id] },
 	}
 	for _, f := range change {
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -23,6 +23,7 @@
 	probes                tally.Counter
 	probesFailed          tally.Counter
 	cancelsSent           tally.Counter
+	evacuated             tally.Gauge
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -42,10 +43,11 @@
 		probes:                scope.Counter("probes"),
 		probesFailed:          scope.Counter("probes_failed"),
 		cancelsSent:           scope.Counter("cancels_sent"),
+		evacuated:             scope.Gauge("data_centres_out_of_use"),
 	}
 	for _, reason := range []wire.Reason{
 		wire.ReasonNone, wire.ReasonBadRequest, wire.ReasonQueueFull, wire.ReasonDeadlineTooShort,
-		wire.ReasonDeadlineExpired, wire.ReasonCancelled, wire.ReasonDraining, wire.ReasonEjected,
+		wire.ReasonDeadlineExpired, wire.ReasonCancelled, wire.ReasonDraining, wire.ReasonEvacuated, wire.ReasonEjected,
 		wire.ReasonShed, wire.ReasonRateLimited, wire.ReasonBackoff, wire.ReasonConnRefused, wire.ReasonConnLost, wire.ReasonConnSilent,
 		wire.ReasonTimeout, wire.ReasonTooLarge, wire.ReasonSnapshotNotHeld, wire.ReasonRepartitioned,
 		wire.ReasonUnknownReplica, wire.ReasonServerError,
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -129,10 +129,10 @@
 }
 
 // EstimateWait returns the expected time until the replica answers one more
-// sub-request, and whether it is usable: it is in the configuration, is not
-// draining, its rate limit allows a sub-request and, as far as is known, it can be
-// reached from this host. An ejected replica counts as usable. The time is 0 if the
-// replica isn't usable.
+// sub-request, and whether it is usable: it is in the configuration, neither it is
+// draining nor its data centre out of use, its rate limit allows a sub-request and,
+// as far as is known, it can be reached from this host. An ejected replica counts as
+// usable. The time is 0 if the replica isn't usable.
 func (o *Owner) EstimateWait(id wire.ReplicaID) (wait time.Duration, usable bool) {
 	r := o.table.Load().replicas[id]
 	if r == nil {
@@ -238,6 +238,7 @@
 			return nil
 		case <-refreshTicker.C:
 			o.Refresh()
+			o.reportEvacuated(time.Now())
 		case <-silenceTicker.C:
 			o.detectSilentDataCentres(time.Now())
 		}
--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -120,7 +120,7 @@
 // maxOpenConns returns the greatest number of connections that may be open now.
 func (r *replica) maxOpenConns() int {
 	switch {
-	case r.removed || r.closed:
+	case r.removed || r.closed || r.dataCentre.evacuated.Load():
 		return 0
 	case !r.owned || r.health.draining():
 		return 1
--- a/internal/owner/replica.go
+++ b/internal/owner/replica.go
@@ -205,6 +205,8 @@
 		return wire.ReasonDraining
 	case !a.deadline.After(now):
 		return wire.ReasonDeadlineExpired
+	case r.dataCentre.evacuated.Load():
+		return wire.ReasonEvacuated
 	case r.health.draining():
 		return wire.ReasonDraining
 	case r.owner.BackoffOf(r.id) > 0:
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -134,7 +134,7 @@
 	if err == nil || !notSent(err) {
 		return false
 	}
-	if a.unsentRetries >= maxUnsentRetries || !a.deadline.After(now) || r.removed || r.closed || r.health.draining() {
+	if a.unsentRetries >= maxUnsentRetries || !a.deadline.After(now) || r.removed || r.closed || r.health.draining() || r.dataCentre.evacuated.Load() {
 		return false
 	}
 	if !a.transition(stateSent, stateQueued) {
--- a/internal/ratelimit/options.go
+++ b/internal/ratelimit/options.go
@@ -30,7 +30,7 @@
 	Ask(ctx context.Context, peer string, question []byte) ([]byte, error)
 }
 
-// Options configure a Registry. All but Scope and Logger are required.
+// Options configure a Registry. All but Unusable, Scope and Logger are required.
 type Options struct {
 	// Clock returns a monotonic time that goes on while the host is suspended.
 	Clock func() time.Duration
@@ -40,9 +40,12 @@
 	// DataCentreOf returns the data centre of a replica, or "" if the replica is not
 	// known. It must not wait for a lock either.
 	DataCentreOf func(wire.ReplicaID) string
-	Transport    Transport
-	Scope        tally.Scope   // default: no metrics
-	Logger       log.Interface // default: no log
+	// Unusable reports whether a replica is out of use, so that no permits are needed for it.
+	// It must not wait for a lock either. Default: none is.
+	Unusable  func(wire.ReplicaID) bool
+	Transport Transport
+	Scope     tally.Scope   // default: no metrics
+	Logger    log.Interface // default: no log
 }
 
 // Validate fills in defaults and returns *OptionError for a missing option.
@@ -57,6 +60,9 @@
 	case o.Transport == nil:
 		return &OptionError{Option: "Transport"}
 	}
+	if o.Unusable == nil {
+		o.Unusable = func(wire.ReplicaID) bool { return false }
+	}
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
--- a/internal/ratelimit/prepare.go
+++ b/internal/ratelimit/prepare.go
@@ -81,6 +81,9 @@
 	candidates, held := 0, 0
 	for i := range shard.Replicas {
 		replica := shard.Replicas[i].Addr
+		if r.options.Unusable(replica) {
+			continue
+		}
 		known := r.limitedLocked(replica)
 		if known == nil {
 			choice.usable = true
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
+	"github.com/arbutusgauge/arbutusgauge/internal/release"
 	"github.com/arbutusgauge/arbutusgauge/internal/wire"
 )
 
@@ -93,6 +94,22 @@
 	g.Expect(r.Take(testReplica)).To(BeFalse())
 }
 
+// Guards against a query that does without permits because it counts on a replica out of
+// use, whose limit does not bind, and against permits that are asked for such a replica.
+func TestReplicasOutOfUseNeedNoPermits(t *testing.T) {
+	g := NewWithT(t)
+	r, _ := newTestRegistry(t)
+	r.options.Unusable = func(id wire.ReplicaID) bool { return id != testReplica }
+	r.Observe(testReplica, limitOf(2), time.Millisecond)
+	r.Observe("limited", limitOf(2), time.Millisecond)
+	shard := &release.Shard{Replicas: []release.Replica{{Addr: "limited"}, {Addr: "unlimited"}, {Addr: testReplica}}}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for range 20 {
+		g.Expect(r.choose(shard)).To(Equal(shardChoice{replica: testReplica, known: r.replicas[testReplica]}))
+	}
+}
+
 // Guards against a limit of 0, or close to it, that lasts for ever because no request
 // could show that it has ended.
 func TestLimitOfZeroIsProbed(t *testing.T) {
--- a/internal/scatter/replies.go
+++ b/internal/scatter/replies.go
@@ -203,7 +203,7 @@
 		}
 	case wire.ReasonQueueFull, wire.ReasonRateLimited, wire.ReasonBackoff, wire.ReasonDeadlineTooShort, wire.ReasonDeadlineExpired:
 		q.loadSignals.Refused = true
-	case wire.ReasonDraining, wire.ReasonCancelled:
+	case wire.ReasonDraining, wire.ReasonEvacuated, wire.ReasonCancelled:
 	default:
 		a.replica.addPenalty(now)
 	}
--- a/internal/wire/outcome.go
+++ b/internal/wire/outcome.go
@@ -39,6 +39,7 @@
 	ReasonDeadlineExpired  Reason = "deadline_expired"   // the deadline passed before the sub-request was started
 	ReasonCancelled        Reason = "cancelled"
 	ReasonDraining         Reason = "draining"           // the replica or its owner accepts no new sub-requests
+	ReasonEvacuated        Reason = "evacuated"          // the replica's data centre is out of use
 	ReasonEjected          Reason = "ejected"            // the owner has ejected the replica after repeated failures
 	ReasonShed             Reason = "shed"               // the backend server refused, usually because its slots are taken
 	ReasonRateLimited      Reason = "rate_limited"       // the limit that the backend server names allows no further request now
