--- a/internal/scatter/selection.go
+++ b/internal/scatter/selection.go
@@ -22,6 +22,11 @@
 	if !usable {
 		return fitUnusable, 0
 	}
+	if fit == fitUnknown {
+		// A replica that has not replied to this host yet, such as one that was out of use when
+		// the host started, would otherwise get hedges and retries only.
+		fit = fitHolds
+	}
 	// The round trip is added although wait includes it, because traffic between
 	// data centres costs more.
 	return fit, wait + r.roundTrip + r.failurePenalty(now)
