Bound what cold replicas get from all hosts in any second

Change: routing.Service.WarmupRate, catalog.Server.WarmupLeft, and the warm-up in status calls. internal/ratelimit limits a cold replica to its rate by permits that last 250 ms from the question, saves up 50 ms of the rate, and grants a tenth of it in a handover; the lower one of this and a stated limit binds. There is no share without the grantor: with 79 to 300 hosts it would break the bound of one second (docs/design/data-centres-out-of-use.md). Hosts tell the grantor of the registration that they know, and the leaders of health responses. Nothing waits in the queue of a cold replica. A refusal names the time to the next permit, through an aggregator too. Malformed values are counted, logged and have no effect. Conditions were removed once each and their tests seen to fail. The simulated fleet records all arrivals and may have cold replicas; TestLimitOfZeroIsProbed passes the time of saved permits.

--- a/internal/backend/types.go
+++ b/internal/backend/types.go
@@ -12,12 +12,13 @@
 // Status is the state that a backend server reports. It is only a hint, because
 // it may be out of date or wrong.
 type Status struct {
-	Draining bool               // takes no new sub-requests
-	Cold     bool               // takes fewer sub-requests at a time than usual
-	InFlight uint32             // sub-requests in progress
-	Held     wire.SnapshotRange // snapshots that it can serve
-	Leaving  bool               // the server leaves for good
-	Backoff  time.Duration      // for so long it wants no requests from this host; 0: it does not say so
+	Draining   bool               // takes no new sub-requests
+	Cold       bool               // takes fewer sub-requests at a time than usual
+	WarmupLeft time.Duration      // for so long the server stays cold; 0: it does not say so
+	InFlight   uint32             // sub-requests in progress
+	Held       wire.SnapshotRange // snapshots that it can serve
+	Leaving    bool               // the server leaves for good
+	Backoff    time.Duration      // for so long it wants no requests from this host; 0: it does not say so
 }
 
 // Dialer opens connections to replicas.
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"github.com/arbutusgauge/arbutusgauge/internal/history"
+	"github.com/arbutusgauge/arbutusgauge/internal/ratelimit"
 	"github.com/arbutusgauge/arbutusgauge/internal/release"
 	"github.com/arbutusgauge/arbutusgauge/internal/routing"
 )
@@ -20,6 +21,8 @@
 	Config *release.Config
 	// Evacuated are the data centres whose replicas are out of use, sorted.
 	Evacuated []string
+	// WarmUps are the registered warm-ups of the servers whose services have a warm-up rate.
+	WarmUps []ratelimit.WarmUp
 	// healthPaths are the health check paths, by server id, that differ from
 	// routing.DefaultHealthPath.
 	healthPaths map[string]string
@@ -84,6 +87,19 @@
 	return paths
 }
 
+// warmUps returns what View.WarmUps has.
+func warmUps(table *routing.Table, known map[string]Server) []ratelimit.WarmUp {
+	var out []ratelimit.WarmUp
+	for _, server := range known {
+		if rate := table.Services[server.Service].WarmupRate; rate > 0 {
+			out = append(out, ratelimit.WarmUp{
+				Replica: server.ReplicaID(), PerSecond: rate, Left: server.WarmupLeft, Sequence: server.WarmupSince,
+			})
+		}
+	}
+	return out
+}
+
 // View returns the current view, or nil while no table is known.
 func (c *Catalog) View() *View { return c.view.Load() }
 
@@ -244,6 +260,8 @@
 	if !c.servers.put(*change.Server) {
 		return false
 	}
+	stored := c.servers.known[change.ID]
+	change.Server = &stored
 	c.changes.add(change)
 	switch {
 	case change.Server.Draining:
@@ -262,7 +280,8 @@
 	for i := range list {
 		present[list[i].ID] = true
 		if c.servers.put(list[i]) {
-			c.changes.add(ServerChange{ID: list[i].ID, Server: &list[i], Revision: c.position.Revision, Era: c.position.Era})
+			stored := c.servers.known[list[i].ID]
+			c.changes.add(ServerChange{ID: list[i].ID, Server: &stored, Revision: c.position.Revision, Era: c.position.Era})
 			changed = true
 		}
 	}
@@ -301,6 +320,7 @@
 		Config: newConfigBuilder(&c.options, c.share, c.settled, c.servers.known, previous).build(c.table),
 
 		Evacuated: c.evacuated.sorted(),
+		WarmUps:   warmUps(c.table, c.servers.known),
 
 		healthPaths: healthPaths(c.table, c.servers.known),
 	}
--- a/internal/catalog/servers.go
+++ b/internal/catalog/servers.go
@@ -62,7 +62,8 @@
 func (s *serverTable) noteSourceRestored(now time.Time) { s.graceUntil = now.Add(reregisterGrace) }
 
 // put stores a registration and reports whether anything but the sequence
-// changed. Registrations that are older than the known one are ignored: they can
+// changed, apart from a warm-up that goes on: its rest is counted from its start.
+// Registrations that are older than the known one are ignored: they can
 // arrive late, and must not revert a server to not draining.
 func (s *serverTable) put(server Server) bool {
 	old, known := s.known[server.ID]
@@ -76,6 +77,14 @@
 		delete(s.removed, server.ID)
 	}
 	delete(s.dropLapsedAt, server.ID)
+	goesOn := known && old.Born == server.Born && (server.WarmupLeft > 0) == (old.WarmupLeft > 0) && server.WarmupLeft <= old.WarmupLeft
+	switch {
+	case goesOn:
+		server.WarmupSince = max(server.WarmupSince, old.WarmupSince)
+		old.WarmupLeft, old.WarmupSince = server.WarmupLeft, server.WarmupSince
+	case server.WarmupSince == 0 && (server.WarmupLeft > 0 || known && old.WarmupLeft > 0):
+		server.WarmupSince = server.Sequence
+	}
 	s.known[server.ID] = server
 	old.Sequence = server.Sequence
 	return !known || old != server
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -25,7 +25,13 @@
 	DataCentre string `json:"data_centre"`
 	Slots      uint32 `json:"slots"` // requests that it runs at the same time
 	Draining   bool   `json:"draining"`
-	Sequence   uint64 `json:"sequence"` // grows with each registration of an incarnation
+	// WarmupLeft is how long it stays cold from the registration on; 0: it is warm, or does not
+	// say.
+	WarmupLeft time.Duration `json:"warmup_left,omitempty"`
+	// WarmupSince is the sequence of the registration that began or ended the warm-up that
+	// WarmupLeft tells of, as far as the hosts know; 0: none did.
+	WarmupSince uint64 `json:"warmup_since,omitempty"`
+	Sequence    uint64 `json:"sequence"` // grows with each registration of an incarnation
 }
 
 // ReplicaID returns the replica id of this incarnation for the query modules.
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -200,7 +200,8 @@
 		Incarnation:   uint64(time.Now().UnixNano()),
 		MinHedgeDelay: minHedgeDelay,
 		EstimateWait:  h.owner.EstimateWait,
-		RateLimited:   h.rateLimits.Limited,
+		RateLimited:   h.isRateLimited,
+		PermitIn:      h.permitIn,
 		BackoffOf:     h.backoffOf,
 		Quarantined:   h.quarantine.Quarantined,
 		Scope:         h.scope.SubScope("scatter"),
@@ -213,7 +214,8 @@
 		log:                h.log,
 	}
 	h.catalog.OnChange(func(v *catalog.View) {
-		h.owner.SetEvacuated(v.Evacuated) // first, so that new replicas there get no connections
+		h.rateLimits.SetWarmUps(v.WarmUps) // before replicas are used
+		h.owner.SetEvacuated(v.Evacuated)  // first, so that new replicas there get no connections
 		h.owner.SetConfig(v.Config)
 		h.engine.Retain(v.Config)
 		holding := holdingDataCentres(v.Config)
@@ -261,6 +263,19 @@
 	return h.owner.BackoffOf(replica)
 }
 
+// isRateLimited is Registry.Limited, but false for a replica out of use: a permit would not help.
+func (h *Host) isRateLimited(replica wire.ReplicaID) bool {
+	return !h.owner.Evacuated(replica) && h.rateLimits.Limited(replica)
+}
+
+// permitIn is Registry.RetryIn, but 0 for a replica out of use.
+func (h *Host) permitIn(replica wire.ReplicaID) time.Duration {
+	if h.owner.Evacuated(replica) {
+		return 0
+	}
+	return h.rateLimits.RetryIn(replica)
+}
+
 // isLeaving reports whether callers and peers should use another host, because
 // this one is stopping or cut off.
 func (h *Host) isLeaving() bool { return h.stopping.Load() || h.reachability.isCutOff() }
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -1,5 +1,7 @@
 package gateway
 
+import "time"
+
 // NotReadyError reports that this host knows no routing table yet. The request
 // did not run.
 type NotReadyError struct{}
@@ -50,6 +52,9 @@
 	Peer    string
 	Failure Failure
 	Reason  string
+	// RetryAfter is the time after which a query that was not run may be run; 0: it is not
+	// known.
+	RetryAfter time.Duration
 }
 
 // Error implements error.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -164,7 +164,7 @@
 		}
 	}
 	if outcome.Failure != "" {
-		return nil, true, &PeerFailedError{Peer: outcome.Peer, Failure: outcome.Failure, Reason: outcome.Reason}
+		return nil, true, &PeerFailedError{Peer: outcome.Peer, Failure: outcome.Failure, Reason: outcome.Reason, RetryAfter: outcome.RetryAfter}
 	}
 	return &Answer{Merged: true, Proofs: outcome.Proofs, MissingShards: outcome.MissingShards, Records: outcome.Records}, true, nil
 }
@@ -229,6 +229,10 @@
 	outcome := &ForwardOutcome{Version: result.Version, Coverage: result.Coverage, Missing: result.Missing, Work: result.Work}
 	if err != nil {
 		outcome.Failure, outcome.Reason = failureOf(err), err.Error()
+		var notRun *scatter.NotRunError
+		if errors.As(err, &notRun) {
+			outcome.RetryAfter = notRun.RetryAfter
+		}
 		return outcome
 	}
 	outcome.Proofs, outcome.MissingShards, outcome.Records = answer.Proofs, answer.MissingShards, answer.Records
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -77,8 +77,10 @@
 
 // ForwardOutcome is the result of a forwarded query. It is sent as JSON.
 type ForwardOutcome struct {
-	Failure       Failure           `json:"failure,omitempty"`
-	Reason        string            `json:"reason,omitempty"`  // error text of the failure
+	Failure Failure `json:"failure,omitempty"`
+	Reason  string  `json:"reason,omitempty"` // error text of the failure
+	// RetryAfter is the time after which a query that was not run may be run; 0: it is not known.
+	RetryAfter    time.Duration     `json:"retry_after,omitempty"`
 	Version       uint64            `json:"version,omitempty"` // of the routing table that was used
 	Proofs        []string          `json:"proofs,omitempty"`  // as in Answer
 	MissingShards int               `json:"shards,omitempty"`  // number of shards without a part
--- a/internal/owner/health.go
+++ b/internal/owner/health.go
@@ -216,6 +216,9 @@
 	r.noteNotices(status.Leaving, status.Backoff, fx)
 	h.reportsInFlight = h.reportsInFlight || status.InFlight > 0
 	r.setCold(status.Cold)
+	if status.WarmupLeft > 0 {
+		r.owner.options.RateLimiter.ObserveWarmUp(r.id, status.WarmupLeft)
+	}
 	if status.Draining {
 		if !h.drainingByStatus {
 			h.drainingByStatus = true
--- a/internal/owner/replica.go
+++ b/internal/owner/replica.go
@@ -215,7 +215,7 @@
 		return wire.ReasonEjected
 	case r.pool.unreachable() && (r.owned || now.Before(r.pool.redialAfter)):
 		return wire.ReasonConnRefused
-	case len(r.queue) >= limit*r.owner.options.Timings.QueuePerSlot:
+	case len(r.queue) >= limit*r.owner.options.Timings.QueuePerSlot, r.mustNotQueue(limit):
 		return wire.ReasonQueueFull
 	case r.expectedWait(limit) > a.deadline.Sub(now):
 		return wire.ReasonDeadlineTooShort
@@ -224,6 +224,12 @@
 	}
 }
 
+// mustNotQueue reports whether a sub-request would wait for a slot of a cold replica. Those that
+// waited would be sent together with later ones, above the rate of their permits.
+func (r *replica) mustNotQueue(limit int) bool {
+	return r.inFlight+len(r.queue) >= limit && r.owner.options.RateLimiter.Cold(r.id)
+}
+
 // dispatch assigns queued attempts to idle connections while slots are free, opens
 // missing connections, sends pending cancels and sets the timers.
 func (r *replica) dispatch(now time.Time, fx *effects) {
--- a/internal/owner/types.go
+++ b/internal/owner/types.go
@@ -25,6 +25,11 @@
 	// Take is called for each sub-request before it is sent. False means that the
 	// limit does not allow it.
 	Take(replica wire.ReplicaID) bool
+	// Cold reports whether the replica is cold, so that a sub-request must be sent at once
+	// after Take: the limit holds for each second.
+	Cold(replica wire.ReplicaID) bool
+	// ObserveWarmUp records that a status call said for how long the replica stays cold.
+	ObserveWarmUp(replica wire.ReplicaID, left time.Duration)
 }
 
 // Suspects learns which requests servers ended under.
@@ -47,6 +52,8 @@
 func (noRateLimits) Observe(wire.ReplicaID, wire.RateLimit, time.Duration) {}
 func (noRateLimits) Allows(wire.ReplicaID) bool                            { return true }
 func (noRateLimits) Take(wire.ReplicaID) bool                              { return true }
+func (noRateLimits) Cold(wire.ReplicaID) bool                              { return false }
+func (noRateLimits) ObserveWarmUp(wire.ReplicaID, time.Duration)           {}
 
 // ReplicaInfo is the state of a replica as observed by this host.
 type ReplicaInfo struct {
--- a/internal/ratelimit/ask.go
+++ b/internal/ratelimit/ask.go
@@ -138,6 +138,7 @@
 func (r *Registry) ask(a *asker) {
 	r.mu.Lock()
 	leader := r.leaderOf(a.dataCentre)
+	askedAt := r.options.Clock()
 	q, revision := r.question(a, leader)
 	answered := a.answered
 	a.answered, a.waiting, a.tellsOwn = make(chan struct{}), false, false
@@ -162,18 +163,29 @@
 	a.lostUntil = 0
 	a.told, a.toldTo = revision, leader.PeerAddr
 	for i, p := range permissions {
-		r.record(q.Wants[i].Replica, p, now)
+		r.record(&q.Wants[i], p, askedAt)
 	}
 }
 
-// record records the permission for a replica. The caller holds mu.
-func (r *Registry) record(replica wire.ReplicaID, p permission, now time.Duration) {
-	known := r.replicas[replica]
+// record records the permission for a want of a question that was asked at a time. The
+// caller holds mu.
+func (r *Registry) record(w *want, p permission, askedAt time.Duration) {
+	now := r.options.Clock()
+	cold := r.coldLocked(w.Replica)
+	if cold != nil && p.Warm && w.Cold != nil && cold.sequence == w.Cold.Sequence {
+		r.endWarmUp(w.Replica, cold, "grantor")
+	}
+	known := r.replicas[w.Replica]
 	if known == nil {
 		return
 	}
-	known.permits.add(p.Granted, now+permitValidity(known.rate()))
 	known.deniedUntil = now + p.RetryIn
+	switch {
+	case r.coldLocked(w.Replica) == nil:
+		known.permits.add(p.Granted, now+permitValidity(known.rate()))
+	case w.Cold != nil: // else the grantor did not know that the replica is cold
+		known.permits.add(p.Granted, askedAt+warmUpValidity)
+	}
 }
 
 // leaderOf returns the leader of a data centre; its PeerAddr is empty if there is none.
@@ -202,13 +214,15 @@
 		if known == nil {
 			continue
 		}
-		most := 1 + int(math.Ceil(known.rate()*permitValidity(known.rate()).Seconds()))
+		most := 1 + int(math.Ceil(known.rate()*known.validity().Seconds()))
 		if count := min(known.wanted, most-known.permits.held(r.options.Clock())); count > 0 {
-			q.Wants = append(q.Wants, want{Replica: replica, Count: count})
-			// A leader that has just started does not know the limit yet.
-			q.Observed = append(q.Observed, Known{
-				Replica: replica, Limited: true, PerSecond: known.limit.PerSecond, Age: r.options.Clock() - known.observedAt,
-			})
+			q.Wants = append(q.Wants, want{Replica: replica, Count: count, Cold: r.coldStateOf(replica)})
+			if known.stated() {
+				// A leader that has just started does not know the limit yet.
+				q.Observed = append(q.Observed, Known{
+					Replica: replica, Limited: true, PerSecond: known.limit.PerSecond, Age: r.options.Clock() - known.observedAt,
+				})
+			}
 		}
 		known.wanted = 0
 	}
--- a/internal/ratelimit/messages.go
+++ b/internal/ratelimit/messages.go
@@ -16,6 +16,8 @@
 	Limited   bool           `json:"limited"` // false: the limit has ended
 	PerSecond float64        `json:"per_second"`
 	Age       time.Duration  `json:"age"` // since a response showed it
+	// Cold is set if the replica is cold by a health response.
+	Cold *coldState `json:"cold,omitempty"`
 }
 
 // validate returns *MessageError for a limit that no host of this program sends.
@@ -23,6 +25,9 @@
 	if k.Replica == "" || k.Age < 0 || k.PerSecond < 0 || math.IsNaN(k.PerSecond) || math.IsInf(k.PerSecond, 0) {
 		return errors.WithStack(&MessageError{Problem: "limit of replica \"" + string(k.Replica) + "\" is out of range"})
 	}
+	if k.Cold != nil {
+		return k.Cold.validate()
+	}
 	return nil
 }
 
@@ -37,6 +42,7 @@
 type want struct {
 	Replica wire.ReplicaID `json:"replica"`
 	Count   int            `json:"count"`
+	Cold    *coldState     `json:"cold,omitempty"` // set if the replica is cold
 }
 
 // maxWanted bounds the permits of one want.
@@ -57,6 +63,8 @@
 type permission struct {
 	Granted int           `json:"granted"`
 	RetryIn time.Duration `json:"retry_in,omitempty"` // until there is another permit; 0: at once
+	// Warm ends the warm-up that the want stated.
+	Warm bool `json:"warm,omitempty"`
 }
 
 // decodeQuestion decodes a question. *MessageError reports one that no host of this
@@ -75,6 +83,12 @@
 		if w.Count < 0 || w.Count > maxWanted {
 			return nil, errors.WithStack(&MessageError{Problem: "number of permits is out of range"})
 		}
+		if w.Cold == nil {
+			continue
+		}
+		if err := w.Cold.validate(); err != nil {
+			return nil, err
+		}
 	}
 	return &q, nil
 }
--- a/internal/ratelimit/options.go
+++ b/internal/ratelimit/options.go
@@ -80,7 +80,7 @@
 
 // metrics holds the counters of a registry.
 type metrics struct {
-	limitedReplicas               tally.Gauge
+	limitedReplicas, coldReplicas tally.Gauge
 	sent, denied                  tally.Counter // requests to limited replicas
 	granted, asked, grantorFailed tally.Counter
 }
@@ -88,6 +88,7 @@
 func newMetrics(scope tally.Scope) metrics {
 	return metrics{
 		limitedReplicas: scope.Gauge("limited_replicas"),
+		coldReplicas:    scope.Gauge("cold_replicas"),
 		sent:            scope.Counter("sent_to_limited"),
 		denied:          scope.Counter("denied"),
 		granted:         scope.Counter("permits_granted"),
--- a/internal/ratelimit/permits.go
+++ b/internal/ratelimit/permits.go
@@ -83,10 +83,10 @@
 
 func newGrantor() *grantor { return &grantor{buckets: map[wire.ReplicaID]*bucket{}} }
 
-// grant grants up to wanted permits for a replica with a rate in requests a second. If
-// it grants fewer, retryIn is the time until there is another one. A replica starts
+// grant grants up to wanted permits for a replica with a rate in requests a second. While
+// nobody asks it saves up those of the time burst. If it grants fewer, retryIn is the time until there is another one. A replica starts
 // without permits, because the grantor may have replaced another one.
-func (g *grantor) grant(replica wire.ReplicaID, rate float64, wanted int, now time.Duration) (granted int, retryIn time.Duration) {
+func (g *grantor) grant(replica wire.ReplicaID, rate float64, burst time.Duration, wanted int, now time.Duration) (granted int, retryIn time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	b := g.buckets[replica]
@@ -94,7 +94,7 @@
 		b = &bucket{updatedAt: now}
 		g.buckets[replica] = b
 	}
-	most := max(1, rate*burstTime.Seconds())
+	most := max(1, rate*burst.Seconds())
 	b.permits = min(most, b.permits+rate*(now-b.updatedAt).Seconds())
 	b.updatedAt = now
 	granted = min(wanted, int(b.permits))
--- a/internal/ratelimit/prepare.go
+++ b/internal/ratelimit/prepare.go
@@ -24,7 +24,7 @@
 // where the query can't do without: it returns as soon as they have no permit, because
 // such a query is better refused at once.
 func (r *Registry) Prepare(ctx context.Context, service *release.Service) {
-	if r.limitedCount.Load() == 0 || service == nil {
+	if !r.hasLimits() || service == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -118,7 +118,7 @@
 	limit := &replicaLimit{limit: limitOf(0)}
 	granted := 0
 	for at := time.Duration(0); at <= time.Minute; at += 100 * time.Millisecond {
-		n, _ := grants.grant(testReplica, limit.rate(), 1, at)
+		n, _ := grants.grant(testReplica, limit.rate(), burstTime, 1, at)
 		granted += n
 	}
 	g.Expect(granted).To(BeNumerically("~", 60*minRate, 1))
--- a/internal/ratelimit/registry.go
+++ b/internal/ratelimit/registry.go
@@ -9,6 +9,11 @@
 // grantor can't be reached, each host keeps an equal share of a part of the limit.
 // Hosts tell the leaders what they observe and learn the rest from the leader that
 // they follow, also after a restart.
+//
+// A replica that is cold, of a service with a warm-up rate, is limited in the same way until
+// its warm-up ends; the lower one of both limits binds. Its bound holds for each second, so
+// its permits end sooner, and there are none without the grantor: an equal share of each of
+// 79 to 300 hosts could be used by all of them in the same second.
 package ratelimit
 
 import (
@@ -44,11 +49,17 @@
 	// limitedCount is the number of replicas with a limit, for a check without mu.
 	limitedCount atomic.Int32
 	hosts        atomic.Int32 // number of hosts that share the limits
+	// coldCount is the number of cold replicas, and knowsWarmUps is set if warmUps has any, for
+	// checks without mu.
+	coldCount    atomic.Int32
+	knowsWarmUps atomic.Bool
 
 	mu       sync.Mutex
 	revision uint64
 	replicas map[wire.ReplicaID]*replicaLimit
 	askers   map[string]*asker // by data centre of the replicas
+	// warmUps has all replicas of services with a warm-up rate.
+	warmUps map[wire.ReplicaID]*warmUp
 }
 
 // replicaLimit is what this host knows of the limit of one replica.
@@ -61,6 +72,8 @@
 	revision   uint64 // of the registry at the last change of the limit
 	own        bool   // the last change was observed by this host
 	sent       int    // requests of this host since the limit became known
+	// warmUpRate is the rate of the replica while it is cold, else 0.
+	warmUpRate float64
 
 	permits permits
 	wanted  int // permits to ask for in the next question to the grantor
@@ -71,11 +84,41 @@
 	shareNextAt time.Duration
 }
 
-// limited reports whether the replica advertises a limit.
-func (l *replicaLimit) limited() bool { return l.limit.State == wire.RateLimited }
+// newReplicaLimit returns the state of a replica that has advertised no limit.
+func newReplicaLimit() *replicaLimit {
+	return &replicaLimit{limit: wire.RateLimit{State: wire.RateUnlimited}}
+}
+
+// stated reports whether the replica advertises a limit.
+func (l *replicaLimit) stated() bool { return l.limit.State == wire.RateLimited }
 
 // rate returns the requests a second of all hosts that the limit allows.
-func (l *replicaLimit) rate() float64 { return max(minRate, l.limit.PerSecond) }
+func (l *replicaLimit) rate() float64 {
+	switch {
+	case l.warmUpRate == 0:
+		return max(minRate, l.limit.PerSecond)
+	case l.stated():
+		return min(l.warmUpRate, max(minRate, l.limit.PerSecond))
+	default:
+		return l.warmUpRate
+	}
+}
+
+// validity returns how long a host may use a permit for the replica.
+func (l *replicaLimit) validity() time.Duration {
+	if l.warmUpRate > 0 {
+		return warmUpValidity
+	}
+	return permitValidity(l.rate())
+}
+
+// burstTime returns the time in which the limit allows the permits that a grantor saves up.
+func (l *replicaLimit) burstTime() time.Duration {
+	if l.warmUpRate > 0 {
+		return warmUpBurstTime
+	}
+	return burstTime
+}
 
 // New returns a registry without limits. A missing option gives *OptionError.
 func New(options Options) (*Registry, error) {
@@ -143,13 +186,13 @@
 	now := r.options.Clock()
 	fields := log.Fields{"replica": string(replica), "source": source, "age": now - observedAt}
 	if limit.State == wire.RateLimited {
-		if !known.limited() {
+		if !known.stated() {
 			r.limitedCount.Add(1)
 		}
 		fields["per_second"] = limit.PerSecond
 		r.options.Logger.WithFields(fields).Info("rate limit of a replica")
 	} else {
-		if known.limited() {
+		if known.stated() {
 			r.limitedCount.Add(-1)
 		}
 		fields["sent"], fields["after"] = known.sent, now-known.since
@@ -169,9 +212,9 @@
 	return time.Duration(requests * float64(r.hosts.Load()) / (lostShare * known.rate()) * float64(time.Second))
 }
 
-// Limited reports whether a replica advertises a limit.
+// Limited reports whether a replica advertises a limit or is cold.
 func (r *Registry) Limited(replica wire.ReplicaID) bool {
-	if r.limitedCount.Load() == 0 {
+	if !r.hasLimits() {
 		return false
 	}
 	r.mu.Lock()
@@ -179,11 +222,29 @@
 	return r.limitedLocked(replica) != nil
 }
 
-// limitedLocked returns what is known of a replica that advertises a rate limit, nil if
-// it advertises none. The caller holds mu.
+// hasLimits reports whether any replica may be limited, without mu.
+func (r *Registry) hasLimits() bool { return r.limitedCount.Load() > 0 || r.coldCount.Load() > 0 }
+
+// limitedLocked returns what is known of a replica that advertises a rate limit or is
+// cold, nil if neither is so. The caller holds mu.
 func (r *Registry) limitedLocked(replica wire.ReplicaID) *replicaLimit {
-	known := r.replicas[replica]
-	if known == nil || !known.limited() {
+	known, cold := r.replicas[replica], r.coldLocked(replica)
+	switch {
+	case cold != nil:
+		if known == nil {
+			known = newReplicaLimit()
+			r.replicas[replica] = known
+		}
+		if known.warmUpRate == 0 {
+			known.permits = permits{} // they last too long for a cold replica
+		}
+		known.warmUpRate = cold.perSecond
+		return known
+	case known == nil:
+		return nil
+	}
+	known.warmUpRate = 0
+	if !known.stated() {
 		return nil
 	}
 	return known
@@ -191,7 +252,7 @@
 
 // Allows reports whether a request may be sent to a replica now.
 func (r *Registry) Allows(replica wire.ReplicaID) bool {
-	if r.limitedCount.Load() == 0 {
+	if !r.hasLimits() {
 		return true
 	}
 	r.mu.Lock()
@@ -203,7 +264,7 @@
 // Take uses a permit for a request to a replica. It returns false if the request must
 // not be sent now.
 func (r *Registry) Take(replica wire.ReplicaID) bool {
-	if r.limitedCount.Load() == 0 {
+	if !r.hasLimits() {
 		return true
 	}
 	r.mu.Lock()
@@ -229,7 +290,10 @@
 // the grantor can't be reached, its share allows a request. The caller holds mu.
 func (r *Registry) hasPermit(replica wire.ReplicaID, known *replicaLimit) bool {
 	now := r.options.Clock()
-	return known.permits.held(now) > 0 || now >= known.shareNextAt && r.askerOf(replica).isLost(now)
+	if known.permits.held(now) > 0 {
+		return true
+	}
+	return known.warmUpRate == 0 && now >= known.shareNextAt && r.askerOf(replica).isLost(now)
 }
 
 // forget drops what is no longer needed: ends of limits after retention, and limits of
@@ -237,10 +301,10 @@
 func (r *Registry) forget() {
 	now := r.options.Clock()
 	for replica, known := range r.replicas {
-		if now-known.observedAt < retention || known.limited() && r.options.DataCentreOf(replica) != "" {
+		if now-known.observedAt < retention || r.coldLocked(replica) != nil || known.stated() && r.options.DataCentreOf(replica) != "" {
 			continue
 		}
-		if known.limited() {
+		if known.stated() {
 			r.limitedCount.Add(-1)
 		}
 		delete(r.replicas, replica)
--- a/internal/ratelimit/share.go
+++ b/internal/ratelimit/share.go
@@ -1,9 +1,5 @@
 package ratelimit
 
-import (
-	"github.com/arbutusgauge/arbutusgauge/internal/wire"
-)
-
 // Since returns the limits that changed after a revision of this registry, and its
 // present revision. Revision 0 gives all.
 func (r *Registry) Since(revision uint64) ([]Known, uint64) {
@@ -23,7 +19,8 @@
 	for replica, known := range r.replicas {
 		if include(known) {
 			out = append(out, Known{
-				Replica: replica, Limited: known.limited(), PerSecond: known.limit.PerSecond, Age: now - known.observedAt,
+				Replica: replica, Limited: known.stated(), PerSecond: known.limit.PerSecond, Age: now - known.observedAt,
+				Cold: r.statedColdOf(replica),
 			})
 		}
 	}
@@ -48,6 +45,9 @@
 
 // learnOne records one limit of a peer. The caller holds mu.
 func (r *Registry) learnOne(k *Known) {
+	if k.Cold != nil {
+		r.learnCold(k.Replica, k.Cold)
+	}
 	observedAt := r.options.Clock() - k.Age
 	known := r.replicas[k.Replica]
 	if known == nil && !k.Limited || known != nil && observedAt <= known.observedAt {
@@ -59,27 +59,36 @@
 // permit answers the wants of a host for the replicas of the data centre that this
 // host leads.
 func (r *Registry) permit(wants []want, self Leader) []permission {
-	share := 1.0
-	if r.options.Clock()-self.Since < handoverTime {
-		share = handoverShare
-	}
+	handover := r.options.Clock()-self.Since < handoverTime
 	out := make([]permission, len(wants))
-	for i, w := range wants {
-		out[i] = r.permitOne(w.Replica, w.Count, share)
+	for i := range wants {
+		out[i] = r.permitOne(&wants[i], handover)
 	}
 	return out
 }
 
-// permitOne grants permits for a share of the limit of a replica.
-func (r *Registry) permitOne(replica wire.ReplicaID, count int, share float64) permission {
+// permitOne answers one want. During the handover from another leader it grants a share of
+// the limit only.
+func (r *Registry) permitOne(w *want, handover bool) permission {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	known := r.limitedLocked(replica)
+	if w.Cold != nil {
+		r.learnCold(w.Replica, w.Cold)
+	}
+	known := r.limitedLocked(w.Replica)
 	if known == nil {
-		// The host learns from the leader that it follows that the limit has ended.
-		return permission{}
+		// The host learns from the leader that it follows that a stated limit has ended. A
+		// grantor that does not know the replica yet says nothing of its warm-up.
+		return permission{Warm: w.Cold != nil && r.warmUps[w.Replica] != nil}
+	}
+	share := 1.0
+	switch {
+	case handover && known.warmUpRate > 0:
+		share = warmUpHandoverShare
+	case handover:
+		share = handoverShare
 	}
-	granted, retryIn := r.grantor.grant(replica, share*known.rate(), count, r.options.Clock())
+	granted, retryIn := r.grantor.grant(w.Replica, share*known.rate(), known.burstTime(), w.Count, r.options.Clock())
 	r.metrics.granted.Inc(int64(granted))
 	return permission{Granted: granted, RetryIn: retryIn}
 }
--- a/internal/ratelimit/simulation_test.go
+++ b/internal/ratelimit/simulation_test.go
@@ -41,6 +41,7 @@
 	replicas map[wire.ReplicaID]*simReplica
 	service  *release.Service
 	work     time.Duration // of a request
+	warmUps  []WarmUp      // as registered
 	refused  int
 }
 
@@ -59,6 +60,7 @@
 	running    int
 	received   int                  // all requests after the first second
 	arrivals   []time.Time          // of hosts that it told its limit
+	all        []time.Time          // arrivals of all hosts
 	told       map[string]time.Time // by host: when it got the first answer with a limit
 }
 
@@ -69,6 +71,7 @@
 	unlimited                    int     // replicas without a limit
 	load                         float64 // requests a second
 	work                         time.Duration
+	cold                         float64 // warm-up rate of the replicas; 0: they are warm
 }
 
 func newFleet(t *testing.T, d simDeployment) *fleet {
@@ -81,6 +84,9 @@
 			f.replicas[id].perSecond = d.perSecond
 		}
 		shard.Replicas = append(shard.Replicas, release.Replica{Addr: id, DataCentre: dc})
+		if d.cold > 0 {
+			f.warmUps = append(f.warmUps, WarmUp{Replica: id, PerSecond: d.cold, Left: time.Hour, Sequence: 1})
+		}
 	}
 	f.service.Shards = []release.Shard{shard}
 	for i := range d.hosts {
@@ -103,6 +109,7 @@
 		t.Fatal(err)
 	}
 	h.registry.SetHosts(hosts)
+	h.registry.SetWarmUps(f.warmUps)
 	for i, old := range f.hosts {
 		if old.name == name {
 			f.hosts[i] = h
@@ -187,6 +194,7 @@
 	defer f.mu.Unlock()
 	r, now := f.replicas[id], time.Now()
 	r.running++
+	r.all = append(r.all, now)
 	if now.Sub(f.began) > time.Second {
 		r.received++
 	}
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -67,6 +67,9 @@
 	// HealthPath is the path of the replicas' health check; empty:
 	// DefaultHealthPath. A request for another path could run as a caller's.
 	HealthPath string `json:"health_path,omitempty"`
+	// WarmupRate is the rate, in requests a second of all hosts, that a cold replica takes; 0: no
+	// bound.
+	WarmupRate float64 `json:"warmup_rate,omitempty"`
 }
 
 // DefaultHealthPath is the path of a health check if the operators set none.
--- a/internal/scatter/options.go
+++ b/internal/scatter/options.go
@@ -42,6 +42,9 @@
 	EstimateWait func(wire.ReplicaID) (wait time.Duration, usable bool)
 	// RateLimited reports whether a replica advertises a rate limit. If nil, none does.
 	RateLimited func(wire.ReplicaID) bool
+	// PermitIn returns the time until a rate limited replica may have a permit for a request;
+	// 0: it is not known. If nil, it never is.
+	PermitIn func(wire.ReplicaID) time.Duration
 	// BackoffOf returns for how long a replica wants no requests from this host; 0: it takes
 	// them. If nil, all replicas do.
 	BackoffOf func(wire.ReplicaID) time.Duration
@@ -94,6 +97,9 @@
 	if o.RateLimited == nil {
 		o.RateLimited = func(wire.ReplicaID) bool { return false }
 	}
+	if o.PermitIn == nil {
+		o.PermitIn = func(wire.ReplicaID) time.Duration { return 0 }
+	}
 	if o.BackoffOf == nil {
 		o.BackoffOf = func(wire.ReplicaID) time.Duration { return 0 }
 	}
