--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"github.com/arbutusgauge/arbutusgauge/internal/history"
+	"github.com/arbutusgauge/arbutusgauge/internal/ratelimit"
 	"github.com/arbutusgauge/arbutusgauge/internal/release"
 	"github.com/arbutusgauge/arbutusgauge/internal/routing"
 )
@@ -18,6 +19,10 @@
 type View struct {
 	Table  *routing.Table
 	Config *release.Config
+	// Evacuated are the data centres whose replicas are out of use, sorted.
+	Evacuated []string
+	// WarmUps are the registered warm-ups of the servers whose services have a warm-up rate.
+	WarmUps []ratelimit.WarmUp
 	// healthPaths are the health check paths, by server id, that differ from
 	// routing.DefaultHealthPath.
 	healthPaths map[string]string
@@ -33,8 +38,10 @@
 	table   *routing.Table
 	servers serverTable
 	share   Share
-	settled bool // see settleAfterStart
-	changes changeLog
+	// evacuated are the data centres out of use, with a position of their own.
+	evacuated evacuatedSet
+	settled   bool // see settleAfterStart
+	changes   changeLog
 	// position is the source position up to which server changes are applied.
 	position history.Position
 	// restoredAt is when this host last learned of a restoration of the source; zero: never.
@@ -56,7 +63,7 @@
 		return nil, err
 	}
 	return &Catalog{
-		options: options, servers: newServerTable(), share: Share{Hosts: defaultHosts}, settled: options.Leadership == nil,
+		options: options, servers: newServerTable(), evacuated: evacuatedSet{names: map[string]bool{}}, share: Share{Hosts: defaultHosts}, settled: options.Leadership == nil,
 		changes:      changeLog{run: time.Now().UnixNano()},
 		tableHeardAt: -neverHeardAge, serversHeardAt: -neverHeardAge,
 	}, nil
@@ -82,6 +89,19 @@
 	return paths
 }
 
+// warmUps returns what View.WarmUps has.
+func warmUps(table *routing.Table, known map[string]Server) []ratelimit.WarmUp {
+	var out []ratelimit.WarmUp
+	for _, server := range known {
+		if rate := table.Services[server.Service].WarmupRate; rate > 0 {
+			out = append(out, ratelimit.WarmUp{
+				Replica: server.ReplicaID(), PerSecond: rate, Left: server.WarmupLeft, Sequence: server.WarmupSince,
+			})
+		}
+	}
+	return out
+}
+
 // View returns the current view, or nil while no table is known.
 func (c *Catalog) View() *View { return c.view.Load() }
 
@@ -269,6 +289,8 @@
 	if !c.servers.put(*change.Server) {
 		return false
 	}
+	stored := c.servers.known[change.ID]
+	change.Server = &stored
 	c.changes.add(change)
 	switch {
 	case change.Server.Draining:
@@ -289,7 +311,8 @@
 	for i := range list {
 		present[list[i].ID] = true
 		if c.servers.put(list[i]) {
-			c.changes.add(ServerChange{ID: list[i].ID, Server: &list[i], Revision: c.position.Revision, Era: c.position.Era})
+			stored := c.servers.known[list[i].ID]
+			c.changes.add(ServerChange{ID: list[i].ID, Server: &stored, Revision: c.position.Revision, Era: c.position.Era})
 			changed = true
 		}
 	}
@@ -327,6 +350,9 @@
 		Table:  c.table,
 		Config: newConfigBuilder(&c.options, c.share, c.settled, c.servers.known, previous).build(c.table),
 
+		Evacuated: c.evacuated.sorted(),
+		WarmUps:   warmUps(c.table, c.servers.known),
+
 		healthPaths: healthPaths(c.table, c.servers.known),
 	}
 	c.view.Store(view)
--- a/internal/catalog/pages_model_test.go
+++ b/internal/catalog/pages_model_test.go
@@ -15,7 +15,6 @@
 	"pgregory.net/rapid"
 
 	"github.com/arbutusgauge/arbutusgauge/internal/history"
-	"github.com/arbutusgauge/arbutusgauge/internal/routing"
 )
 
 const (
@@ -36,12 +35,12 @@
 	between  func() error
 }
 
-func (s *pagedSource) Table(context.Context) (*routing.Table, history.Position, error) {
-	return testTable(1), s.at, nil
+func (s *pagedSource) Table(context.Context) (OperatorEntries, history.Position, error) {
+	return OperatorEntries{Table: testTable(1)}, s.at, nil
 }
 
-func (s *pagedSource) WatchTable(context.Context, history.Position, time.Duration) (*routing.Table, history.Position, error) {
-	return nil, s.at, nil
+func (s *pagedSource) WatchTable(context.Context, history.Position, time.Duration) (OperatorEntries, history.Position, error) {
+	return OperatorEntries{}, s.at, nil
 }
 
 func (s *pagedSource) Servers(context.Context) (ServerList, error) {
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -13,7 +13,6 @@
 	"github.com/arbutusgauge/arbutusgauge/internal/lead"
 	"github.com/arbutusgauge/arbutusgauge/internal/quarantine"
 	"github.com/arbutusgauge/arbutusgauge/internal/ratelimit"
-	"github.com/arbutusgauge/arbutusgauge/internal/routing"
 	"github.com/arbutusgauge/arbutusgauge/internal/wire"
 )
 
@@ -26,7 +25,13 @@
 	DataCentre string `json:"data_centre"`
 	Slots      uint32 `json:"slots"` // requests that it runs at the same time
 	Draining   bool   `json:"draining"`
-	Sequence   uint64 `json:"sequence"` // grows with each registration of an incarnation
+	// WarmupLeft is how long it stays cold from the registration on; 0: it is warm, or does not
+	// say.
+	WarmupLeft time.Duration `json:"warmup_left,omitempty"`
+	// WarmupSince is the sequence of the registration that began or ended the warm-up that
+	// WarmupLeft tells of, as far as the hosts know; 0: none did.
+	WarmupSince uint64 `json:"warmup_since,omitempty"`
+	Sequence    uint64 `json:"sequence"` // grows with each registration of an incarnation
 }
 
 // ReplicaID returns the replica id of this incarnation for the query modules.
@@ -71,11 +76,11 @@
 // *HistoryGoneError if the changes after its position are no longer held, as after a
 // restoration. Each method also returns the position of its result.
 type Source interface {
-	// Table returns the newest routing table, or nil if there is none yet.
-	Table(ctx context.Context) (*routing.Table, history.Position, error)
-	// WatchTable waits up to wait for a table written after a position; a nil
-	// table means that there was none.
-	WatchTable(ctx context.Context, after history.Position, wait time.Duration) (*routing.Table, history.Position, error)
+	// Table returns the newest routing table and the evacuated data centres.
+	Table(ctx context.Context) (OperatorEntries, history.Position, error)
+	// WatchTable waits up to wait for a table or an evacuation that was written, or
+	// removed, after a position.
+	WatchTable(ctx context.Context, after history.Position, wait time.Duration) (OperatorEntries, history.Position, error)
 	// Servers returns all servers.
 	Servers(ctx context.Context) (ServerList, error)
 	// WatchServers returns the changes after a position. If there are none, it
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -105,6 +105,7 @@
 		Clock:        boottime.Now,
 		Leaders:      h.permitLeaders.get,
 		DataCentreOf: func(replica wire.ReplicaID) string { return h.owner.DataCentreOf(replica) },
+		Unusable:     func(replica wire.ReplicaID) bool { return h.owner.Evacuated(replica) },
 		Transport:    ratelimit.NewHTTPTransport(),
 		Scope:        h.scope.SubScope("ratelimit"),
 		Logger:       h.log,
@@ -209,18 +210,22 @@
 		Incarnation:   uint64(time.Now().UnixNano()),
 		MinHedgeDelay: minHedgeDelay,
 		EstimateWait:  h.owner.EstimateWait,
-		RateLimited:   h.rateLimits.Limited,
-		BackoffOf:     h.owner.BackoffOf,
+		RateLimited:   h.isRateLimited,
+		PermitIn:      h.permitIn,
+		BackoffOf:     h.backoffOf,
 		Quarantined:   h.quarantine.Quarantined,
 		Scope:         h.scope.SubScope("scatter"),
 		Logger:        h.log,
 	})
 	h.reachability = &reachability{
 		isUsable:           h.owner.Usable,
+		isEvacuated:        h.owner.Evacuated,
 		lastHeardElsewhere: func() time.Time { return h.owner.LastHeardOutside(h.settings.DataCentre) },
 		log:                h.log,
 	}
 	h.catalog.OnChange(func(v *catalog.View) {
+		h.rateLimits.SetWarmUps(v.WarmUps) // before replicas are used
+		h.owner.SetEvacuated(v.Evacuated)  // first, so that new replicas there get no connections
 		h.owner.SetConfig(v.Config)
 		h.engine.Retain(v.Config)
 		holding := holdingDataCentres(v.Config)
@@ -259,6 +264,28 @@
 	return aggregatorPeers(h.lead.Fleet(), lead.Host{DataCentre: h.settings.DataCentre, Cores: h.settings.Cores}, holding)
 }
 
+// backoffOf is Owner.BackoffOf, but 0 for a replica out of use: its return does not depend on
+// the time for which it wants no requests.
+func (h *Host) backoffOf(replica wire.ReplicaID) time.Duration {
+	if h.owner.Evacuated(replica) {
+		return 0
+	}
+	return h.owner.BackoffOf(replica)
+}
+
+// isRateLimited is Registry.Limited, but false for a replica out of use: a permit would not help.
+func (h *Host) isRateLimited(replica wire.ReplicaID) bool {
+	return !h.owner.Evacuated(replica) && h.rateLimits.Limited(replica)
+}
+
+// permitIn is Registry.RetryIn, but 0 for a replica out of use.
+func (h *Host) permitIn(replica wire.ReplicaID) time.Duration {
+	if h.owner.Evacuated(replica) {
+		return 0
+	}
+	return h.rateLimits.RetryIn(replica)
+}
+
 // isLeaving reports whether callers and peers should use another host, because
 // this one is stopping or cut off.
 func (h *Host) isLeaving() bool { return h.stopping.Load() || h.reachability.isCutOff() }
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -24,6 +24,7 @@
 	probesFailed          tally.Counter
 	cancelsSent           tally.Counter
 	longBackoffs          tally.Gauge
+	evacuated             tally.Gauge
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -44,10 +45,11 @@
 		probesFailed:          scope.Counter("probes_failed"),
 		cancelsSent:           scope.Counter("cancels_sent"),
 		longBackoffs:          scope.Gauge("long_backoffs"),
+		evacuated:             scope.Gauge("data_centres_out_of_use"),
 	}
 	for _, reason := range []wire.Reason{
 		wire.ReasonNone, wire.ReasonBadRequest, wire.ReasonQueueFull, wire.ReasonDeadlineTooShort,
-		wire.ReasonDeadlineExpired, wire.ReasonCancelled, wire.ReasonDraining, wire.ReasonEjected,
+		wire.ReasonDeadlineExpired, wire.ReasonCancelled, wire.ReasonDraining, wire.ReasonEvacuated, wire.ReasonEjected,
 		wire.ReasonShed, wire.ReasonRateLimited, wire.ReasonBackoff, wire.ReasonConnRefused, wire.ReasonConnLost, wire.ReasonConnSilent,
 		wire.ReasonTimeout, wire.ReasonTooLarge, wire.ReasonSnapshotNotHeld, wire.ReasonRepartitioned,
 		wire.ReasonUnknownReplica, wire.ReasonServerError,
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -135,7 +135,7 @@
 		return false
 	}
 	if a.unsentRetries >= maxUnsentRetries || !a.deadline.After(now) || r.removed || r.closed || r.health.draining() ||
-		r.owner.BackoffOf(r.id) > 0 {
+		r.dataCentre.evacuated.Load() || r.owner.BackoffOf(r.id) > 0 {
 		return false
 	}
 	if !a.transition(stateSent, stateQueued) {
--- a/internal/ratelimit/options.go
+++ b/internal/ratelimit/options.go
@@ -30,7 +30,7 @@
 	Ask(ctx context.Context, peer string, question []byte) ([]byte, error)
 }
 
-// Options configure a Registry. All but Scope and Logger are required.
+// Options configure a Registry. All but Unusable, Scope and Logger are required.
 type Options struct {
 	// Clock returns a monotonic time that goes on while the host is suspended.
 	Clock func() time.Duration
@@ -40,9 +40,12 @@
 	// DataCentreOf returns the data centre of a replica, or "" if the replica is not
 	// known. It must not wait for a lock either.
 	DataCentreOf func(wire.ReplicaID) string
-	Transport    Transport
-	Scope        tally.Scope   // default: no metrics
-	Logger       log.Interface // default: no log
+	// Unusable reports whether a replica is out of use, so that no permits are needed for it.
+	// It must not wait for a lock either. Default: none is.
+	Unusable  func(wire.ReplicaID) bool
+	Transport Transport
+	Scope     tally.Scope   // default: no metrics
+	Logger    log.Interface // default: no log
 }
 
 // Validate fills in defaults and returns *OptionError for a missing option.
@@ -57,6 +60,9 @@
 	case o.Transport == nil:
 		return &OptionError{Option: "Transport"}
 	}
+	if o.Unusable == nil {
+		o.Unusable = func(wire.ReplicaID) bool { return false }
+	}
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
@@ -74,7 +80,7 @@
 
 // metrics holds the counters of a registry.
 type metrics struct {
-	limitedReplicas               tally.Gauge
+	limitedReplicas, coldReplicas tally.Gauge
 	sent, denied                  tally.Counter // requests to limited replicas
 	granted, asked, grantorFailed tally.Counter
 }
@@ -82,6 +88,7 @@
 func newMetrics(scope tally.Scope) metrics {
 	return metrics{
 		limitedReplicas: scope.Gauge("limited_replicas"),
+		coldReplicas:    scope.Gauge("cold_replicas"),
 		sent:            scope.Counter("sent_to_limited"),
 		denied:          scope.Counter("denied"),
 		granted:         scope.Counter("permits_granted"),
--- a/internal/ratelimit/prepare.go
+++ b/internal/ratelimit/prepare.go
@@ -24,7 +24,7 @@
 // where the query can't do without: it returns as soon as they have no permit, because
 // such a query is better refused at once.
 func (r *Registry) Prepare(ctx context.Context, service *release.Service) {
-	if r.limitedCount.Load() == 0 || service == nil {
+	if !r.hasLimits() || service == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
@@ -81,6 +81,9 @@
 	candidates, held := 0, 0
 	for i := range shard.Replicas {
 		replica := shard.Replicas[i].Addr
+		if r.options.Unusable(replica) {
+			continue
+		}
 		known := r.limitedLocked(replica)
 		if known == nil {
 			choice.usable = true
