scatter: end the loop of a query at its deadline

Cause: from the deadline on, the timer of the loop was due at once, and a channel timer that is due does not let the goroutine park. The loop spun until the runtime preempted it and ran the timer of the context.

Change: the loop returns when its timer runs at the deadline.

The new test hangs on the code before.

--- a/internal/scatter/query.go
+++ b/internal/scatter/query.go
@@ -198,7 +198,13 @@
 			q.processInbox()
 		case <-timer.C:
 			q.processInbox()
-			q.sendDue(time.Now())
+			now := time.Now()
+			if !now.Before(q.deadline) {
+				// Without this, the loop would wake up at once, again and again, until
+				// the timer of ctx has run as well.
+				return
+			}
+			q.sendDue(now)
 		case <-ctx.Done():
 			q.processInbox()
 			return
--- a/internal/scatter/run_test.go
+++ b/internal/scatter/run_test.go
@@ -437,3 +437,23 @@
 }
 
 func (duplicatingSender) Cancel([]wire.SubRequestID) {}
+
+// Guards against a query that spins at its deadline until another timer has ended its
+// context, which kept the only processor of small hosts for seconds.
+func TestLoopEndsAtTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		sender := &fakeSender{respond: func(sub wire.SubRequest) (time.Duration, wire.Reply, bool) {
+			return time.Second, answeredReply(sub), true
+		}}
+		q, err := testEngine(t, sender, nil).newQuery(rotaQuery(testConfig(1, 1)))
+		g.Expect(err).NotTo(HaveOccurred())
+		began := time.Now()
+		q.start()
+		q.loop(t.Context()) // which has no deadline
+		g.Expect(time.Since(began)).To(Equal(500 * time.Millisecond))
+		_, err = q.finish()
+		g.Expect(err).To(HaveOccurred())
+		time.Sleep(time.Second)
+	})
+}
