--- a/internal/backend/types.go
+++ b/internal/backend/types.go
@@ -18,6 +18,8 @@
 	Held     wire.SnapshotRange // snapshots that it can serve
 	Leaving  bool               // the server leaves for good
 	Backoff  time.Duration      // for so long it wants no requests from this host; 0: it does not say so
+
+	StatedLoad wire.StatedLoad // load over all hosts
 }
 
 // Dialer opens connections to replicas.
--- a/internal/owner/estimate.go
+++ b/internal/owner/estimate.go
@@ -31,6 +31,9 @@
 	mean := r.estimatedLatency(now)
 	ahead := r.inFlight + len(r.queue)
 	wait := mean + time.Duration(ahead)*mean/time.Duration(r.slotLimit(now))
+	if r.group.statesLoad.Load() {
+		wait, _ = r.view.Estimate(ahead, r.slotLimit(now), now)
+	}
 	if r.hasOverdueRun(mean, now) {
 		wait += overduePenalty
 	}
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -47,12 +47,13 @@
 	serverRecord
 	serviceTime  time.Duration
 	fault        fault
-	leaving      bool          // replies say that the server leaves
-	backoff      time.Duration // refusals say that the server wants no requests for so long
-	unsentCalls  int           // number of next Run calls that fail with faultUnsent
-	refuseDials  bool          // dials fail with ECONNREFUSED
-	dialsTimeOut bool          // dials fail with ETIMEDOUT, as behind a partition
-	dialCost     time.Duration // delay of a new connection
+	leaving      bool            // replies say that the server leaves
+	load         wire.StatedLoad // stated by replies
+	backoff      time.Duration   // refusals say that the server wants no requests for so long
+	unsentCalls  int             // number of next Run calls that fail with faultUnsent
+	refuseDials  bool            // dials fail with ECONNREFUSED
+	dialsTimeOut bool            // dials fail with ETIMEDOUT, as behind a partition
+	dialCost     time.Duration   // delay of a new connection
 	status       backend.Status
 	statusFrozen bool // status calls are not answered
 	silentRuns   int  // number of next runs that make their connection silent
@@ -208,7 +209,7 @@
 		r := wire.Reply{ID: sub.ID, Replica: c.id, Outcome: wire.Answered, Snapshot: 5, Range: sub.Range}
 		r.Held = wire.SnapshotRange{Oldest: 1, Newest: 5}
 		c.server.set(func(s *fakeServer) {
-			r.Leaving = s.leaving
+			r.Leaving, r.StatedLoad = s.leaving, s.load
 			if fault == faultShed {
 				r.Backoff = s.backoff
 			}
--- a/internal/owner/health.go
+++ b/internal/owner/health.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -51,6 +52,7 @@
 type shardGroup struct {
 	mu           sync.Mutex
 	replicaCount int
+	statesLoad   atomic.Bool // a replica has stated its load; not guarded by mu
 	ejectedUntil map[wire.ReplicaID]time.Time
 	draining     map[wire.ReplicaID]bool
 }
@@ -124,6 +126,7 @@
 		r.health.held = reply.Held
 	}
 	r.noteNotices(reply.Leaving, reply.Backoff, fx)
+	r.reportLoad(reply.StatedLoad, true, now)
 	r.health.reportsInFlight = r.health.reportsInFlight || reply.Load.InFlight > 0
 	r.setCold(reply.Load.State == wire.ReplicaCold)
 	if reply.Outcome == wire.NotRun && reply.Reason == wire.ReasonDraining || reply.Load.State == wire.ReplicaDraining {
@@ -135,6 +138,7 @@
 // recordAnswer resets the failure count and advances the slow start.
 func (r *replica) recordAnswer(took time.Duration, now time.Time) {
 	r.latency.add(took, now)
+	r.view.Answer(took, now)
 	h := &r.health
 	h.consecutiveFailures = 0
 	h.drainReplyCount = 0
@@ -214,6 +218,7 @@
 		h.held = status.Held
 	}
 	r.noteNotices(status.Leaving, status.Backoff, fx)
+	r.reportLoad(status.StatedLoad, false, now)
 	h.reportsInFlight = h.reportsInFlight || status.InFlight > 0
 	r.setCold(status.Cold)
 	if status.Draining {
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"time"
+
 	"github.com/uber-go/tally/v4"
 
 	"github.com/arbutusgauge/arbutusgauge/internal/wire"
@@ -23,8 +25,15 @@
 	probes                tally.Counter
 	probesFailed          tally.Counter
 	cancelsSent           tally.Counter
+	sentNear              tally.Counter
+	sentFar               tally.Counter
+	inFlightSpread        tally.Gauge
+	loadAge               tally.Histogram
 }
 
+// loadAgeBuckets are the bounds of the ages of stated loads: 1 ms to 8 s.
+var loadAgeBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
+
 func newMetrics(scope tally.Scope) *metrics {
 	m := &metrics{
 		answered:              scope.Counter("answered"),
@@ -42,6 +51,10 @@
 		probes:                scope.Counter("probes"),
 		probesFailed:          scope.Counter("probes_failed"),
 		cancelsSent:           scope.Counter("cancels_sent"),
+		sentNear:              scope.Counter("sent_near"),
+		sentFar:               scope.Counter("sent_far"),
+		inFlightSpread:        scope.Gauge("in_flight_spread"),
+		loadAge:               scope.Histogram("load_age", loadAgeBuckets),
 	}
 	for _, reason := range []wire.Reason{
 		wire.ReasonNone, wire.ReasonBadRequest, wire.ReasonQueueFull, wire.ReasonDeadlineTooShort,
@@ -57,6 +70,16 @@
 	return m
 }
 
+// countSent counts a sub-request that is sent to a replica of this host's data centre, near,
+// or of another one.
+func (m *metrics) countSent(near bool) {
+	if near {
+		m.sentNear.Inc(1)
+	} else {
+		m.sentFar.Inc(1)
+	}
+}
+
 // count counts a reply by its outcome and reason. Reasons without a counter of
 // their own go to otherReason.
 func (m *metrics) count(outcome wire.Outcome, reason wire.Reason) {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -252,6 +252,7 @@
 	for _, r := range o.table.Load().replicas {
 		r.refresh(now)
 	}
+	o.observeSpread(now)
 	o.configMu.Lock()
 	o.dropRemovedReplicas()
 	o.configMu.Unlock()
--- a/internal/owner/replica.go
+++ b/internal/owner/replica.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/arbutusgauge/arbutusgauge/internal/balance"
 	"github.com/arbutusgauge/arbutusgauge/internal/release"
 	"github.com/arbutusgauge/arbutusgauge/internal/wire"
 )
@@ -38,6 +39,7 @@
 	pool           pool
 	health         health
 	latency        latencyStats
+	view           balance.View        // what the replica states of its load
 	pendingCancels []wire.SubRequestID // running sub-requests for which a cancel call is still to be sent
 	probeTimer     *time.Timer
 	// lostRuns are runs whose connection the server closed; checksEnding is set while a
@@ -57,6 +59,9 @@
 	r.onDemand = service.ConnectOnDemand || service.LocalWarmConnectionsOnly && r.dataCentre.name != r.owner.options.DataCentre
 	r.removed = false
 	r.group = group
+	if r.view.States() {
+		group.statesLoad.Store(true)
+	}
 	if r.health.ejectedUntil.After(now) {
 		group.ejectedUntil[r.id] = r.health.ejectedUntil
 	}
@@ -235,6 +240,7 @@
 		a.state.Store(stateAssigned)
 		r.inFlight++
 		r.dataCentre.recordSent(now)
+		r.owner.metrics.countSent(r.dataCentre.name == r.owner.options.DataCentre)
 		c := r.pool.takeMostRecentlyUsed()
 		r.pool.addBusy(c, a, now)
 		c.jobs <- job{attempt: a}
--- a/internal/wire/subrequest.go
+++ b/internal/wire/subrequest.go
@@ -111,6 +111,8 @@
 	// for how long it wants no requests from this host; 0: it does not say so.
 	Leaving bool
 	Backoff time.Duration
+	// StatedLoad is the load that the server's response states, over all hosts.
+	StatedLoad StatedLoad
 }
 
 // RateLimitState says whether a response advertises a rate limit.
