Choose between replicas by the load that they state

internal/scatter passes the estimates and their uncertainty to balance.Choose if a replica of the shard states its load.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -199,6 +199,7 @@
 		Incarnation:   uint64(time.Now().UnixNano()),
 		MinHedgeDelay: minHedgeDelay,
 		EstimateWait:  h.owner.EstimateWait,
+		Uncertainty:   h.owner.StatedUncertainty,
 		RateLimited:   h.rateLimits.Limited,
 		BackoffOf:     h.owner.BackoffOf,
 		Quarantined:   h.quarantine.Quarantined,
--- a/internal/scatter/options.go
+++ b/internal/scatter/options.go
@@ -40,6 +40,9 @@
 	// It is called for every candidate of an attempt and must not block. If nil,
 	// replicas are judged by their replies alone.
 	EstimateWait func(wire.ReplicaID) (wait time.Duration, usable bool)
+	// Uncertainty returns how far EstimateWait may be off for a replica that states its
+	// load; false: it states none. If nil, no replica does.
+	Uncertainty func(wire.ReplicaID) (uncertainty time.Duration, stated bool)
 	// RateLimited reports whether a replica advertises a rate limit. If nil, none does.
 	RateLimited func(wire.ReplicaID) bool
 	// BackoffOf returns for how long a replica wants no requests from this host; 0: it takes
--- a/internal/scatter/selection.go
+++ b/internal/scatter/selection.go
@@ -87,10 +87,13 @@
 	return longest
 }
 
-// selectReplica chooses a replica for an attempt of a part: of two random
-// candidates of the best fitness the one with the lower score. exclude holds the
+// selectReplica chooses a replica for an attempt of a part: by the load that replicas
+// state, or else of two random candidates of the best fitness the one with the lower score. exclude holds the
 // bits of the replicas to leave out. It returns nil if no other replica is usable.
 func (q *query) selectReplica(p *part, exclude uint64, now time.Time) *replicaState {
+	if r, chosen := q.selectByStatedLoad(p, exclude, now); chosen {
+		return r
+	}
 	var (
 		best       = fitUnusable
 		candidates uint64
