--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -213,6 +213,7 @@
 		RateLimited:   h.isRateLimited,
 		PermitIn:      h.permitIn,
 		BackoffOf:     h.backoffOf,
+		Uncertainty:   h.owner.StatedUncertainty,
 		Quarantined:   h.quarantine.Quarantined,
 		Scope:         h.scope.SubScope("scatter"),
 		Logger:        h.log,
--- a/internal/ratelimit/warmup_test.go
+++ b/internal/ratelimit/warmup_test.go
@@ -214,7 +214,7 @@
 	g.Expect(r.replicas[testReplica].permits.held(*now)).To(BeZero())
 	r.record(&want{Replica: testReplica, Count: 9, Cold: r.coldStateOf(testReplica)}, permission{Granted: 1}, *now-warmUpValidity+1)
 	g.Expect(r.replicas[testReplica].permits.held(*now)).To(Equal(1))
-	g.Expect(r.replicas[testReplica].permits.held(*now + 1)).To(BeZero(), "counted from the question")
+	g.Expect(r.replicas[testReplica].permits.held(*now+1)).To(BeZero(), "counted from the question")
 }
 
 // Guards against a replica that becomes cold again by a health response that one host sees, while
