Choose the least estimate, and forget a pause of a replica soon

This changes the choice where no replica states its load.

A latency with a pause in it (100 to 150 ms, of 10) went into the mean of the estimate with a quarter of its weight. It kept the replica out of use for several answers, which takes seconds on a host that sends little, and sent requests to other data centres meanwhile. It now counts as at most three times the mean; the rest is added for some 150 ms. Of two random replicas the better one was chosen, which leaves the best one out for a third of the requests; hosts that send to replicas directly now take the least estimate, equal ones at random, and also try replicas that they have not heard of.

The existing tests of the estimate pass unchanged.

Tests: go test -race ./internal/owner ./internal/scatter ./internal/catalog ./internal/edge ./internal/bench pass.

--- a/internal/owner/direct_test.go
+++ b/internal/owner/direct_test.go
@@ -120,6 +120,31 @@
 	})
 }
 
+// Guards against one pause that keeps a replica out of use for several answers, which takes
+// seconds on a host that sends little, and against lasting slowness that is forgotten as fast.
+func TestOnePauseIsForgottenSoon(t *testing.T) {
+	testDirectOwner(t, oneShardConfig(), func(g *WithT, h *harness) {
+		answer := func(took time.Duration, times int) time.Duration {
+			h.dialer.server(r1).set(func(s *fakeServer) { s.serviceTime = took })
+			for range times {
+				h.send(r1, time.Second, 1)
+				time.Sleep(took + time.Millisecond)
+			}
+			wait, _ := h.owner.EstimateWait(r1)
+			return wait
+		}
+		usual := answer(10*time.Millisecond, 20)
+		g.Expect(answer(130*time.Millisecond, 1)).To(BeNumerically(">", 3*usual), "a pause that has just ended")
+		time.Sleep(8 * excessHalfLife)
+		later, _ := h.owner.EstimateWait(r1)
+		g.Expect(later).To(BeNumerically("<", 2*usual))
+		g.Expect(answer(40*time.Millisecond, 5)).To(BeNumerically(">", 3*usual), "four times slower")
+		time.Sleep(8 * excessHalfLife)
+		lasting, _ := h.owner.EstimateWait(r1)
+		g.Expect(lasting).To(BeNumerically(">", 25*time.Millisecond))
+	})
+}
+
 // Guards against a slow replica that is chosen repeatedly because its attempts end
 // without an answer and add no latency sample.
 func TestAttemptWithoutAnswerCountsAsSlow(t *testing.T) {
--- a/internal/owner/estimate.go
+++ b/internal/owner/estimate.go
@@ -51,7 +51,8 @@
 }
 
 // estimatedLatency returns the recent mean latency, halved for each
-// latencyHalfLife without a sample until it is at most assumedLatency.
+// latencyHalfLife without a sample until it is at most assumedLatency, and what is left of
+// the latest pause.
 func (r *replica) estimatedLatency(now time.Time) time.Duration {
 	if r.latency.lastSampleAt.IsZero() {
 		return assumedLatency
@@ -60,7 +61,7 @@
 	for age := now.Sub(r.latency.lastSampleAt); age > latencyHalfLife && mean > assumedLatency; age -= latencyHalfLife {
 		mean /= 2
 	}
-	return mean
+	return mean + r.latency.excessAt(now)
 }
 
 // hasOverdueRun reports whether a running sub-request takes much longer than the
--- a/internal/scatter/selection.go
+++ b/internal/scatter/selection.go
@@ -88,12 +88,53 @@
 }
 
 // selectReplica chooses a replica for an attempt of a part: by the load that replicas
-// state, or else of two random candidates of the best fitness the one with the lower score. exclude holds the
-// bits of the replicas to leave out. It returns nil if no other replica is usable.
+// state, or else by what this host knows. exclude holds the bits of the replicas to leave
+// out. It returns nil if no other replica is usable.
 func (q *query) selectReplica(p *part, exclude uint64, now time.Time) *replicaState {
 	if r, chosen := q.selectByStatedLoad(p, exclude, now); chosen {
 		return r
 	}
+	if q.engine.options.EstimateWait != nil {
+		return q.leastEstimate(p, exclude, now)
+	}
+	return q.betterOfTwo(p, exclude, now)
+}
+
+// leastEstimate returns the candidate with the least score, one of those at random. A host
+// that sends to replicas directly counts its own requests at once, so that it needs no
+// random leaving out of the best one, which costs a way to another data centre. Those that may
+// hold the snapshot are candidates like those that are known to, as in selectByStatedLoad.
+func (q *query) leastEstimate(p *part, exclude uint64, now time.Time) *replicaState {
+	var (
+		chosen *replicaState
+		least  time.Duration
+		equals uint64
+	)
+	best := fitUnusable
+	for _, r := range p.shard.replicas {
+		if exclude&(1<<r.index) != 0 {
+			continue
+		}
+		fit, score := q.evaluate(r, now)
+		if fit == fitUnknown {
+			fit = fitHolds
+		}
+		switch {
+		case fit == fitUnusable || fit > best:
+		case fit < best || score < least:
+			best, chosen, least, equals = fit, r, score, 1
+		case score == least:
+			if equals++; q.random.Uint64()%equals == 0 {
+				chosen = r
+			}
+		}
+	}
+	return chosen
+}
+
+// betterOfTwo returns the one with the lower score of two random candidates of the best
+// fitness.
+func (q *query) betterOfTwo(p *part, exclude uint64, now time.Time) *replicaState {
 	var (
 		best       = fitUnusable
 		candidates uint64
