--- a/internal/scatter/selection.go
+++ b/internal/scatter/selection.go
@@ -23,8 +23,8 @@
 		return fitUnusable, 0
 	}
 	if fit == fitUnknown {
-		// A replica that has not replied to this host yet, such as one that was out of use when
-		// the host started, would otherwise get hedges and retries only.
+		// A replica that has not replied to this host yet, because it has just started or was
+		// out of use when the host started, would otherwise get hedges and retries only.
 		fit = fitHolds
 	}
 	// The round trip is added although wait includes it, because traffic between
@@ -107,8 +107,7 @@
 
 // leastEstimate returns the candidate with the least score, one of those at random. A host
 // that sends to replicas directly counts its own requests at once, so that it needs no
-// random leaving out of the best one, which costs a way to another data centre. Those that may
-// hold the snapshot are candidates like those that are known to, as in selectByStatedLoad.
+// random leaving out of the best one, which costs a way to another data centre.
 func (q *query) leastEstimate(p *part, exclude uint64, now time.Time) *replicaState {
 	var (
 		chosen *replicaState
@@ -121,9 +120,6 @@
 			continue
 		}
 		fit, score := q.evaluate(r, now)
-		if fit == fitUnknown {
-			fit = fitHolds
-		}
 		switch {
 		case fit == fitUnusable || fit > best:
 		case fit < best || score < least:
--- a/internal/scatter/stated.go
+++ b/internal/scatter/stated.go
@@ -30,11 +30,6 @@
 			continue
 		}
 		fit, score := q.evaluate(r, now)
-		if fit == fitUnknown {
-			// A replica that has just started may be tried: else only a hedge would be
-			// sent to it while others are known to hold the snapshot.
-			fit = fitHolds
-		}
 		if fit == fitUnusable || fit > best {
 			continue
 		}
