One transport for the messages by which hosts coordinate

Cause: ratelimit, quarantine and quota had an HTTP client and a handler of the same shape each. Change: internal/peerhttp holds both; the packages keep their messages, paths and statuses.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -307,10 +307,10 @@
 	readiness.GET(platform.PathReady, h.serveReadiness)
 	peers := echo.New()
 	peers.GET(catalog.PathState, echo.WrapHandler(http.HandlerFunc(h.serveState)))
-	peers.POST(ratelimit.PathPermits, echo.WrapHandler(http.HandlerFunc(h.rateLimits.ServePermits)))
-	peers.POST(quarantine.PathRecords, echo.WrapHandler(http.HandlerFunc(h.quarantine.ServeRecords)))
-	peers.POST(quota.PathQuota, echo.WrapHandler(http.HandlerFunc(h.quotas.ServeReports)))
-	peers.POST(quarantine.PathTrials, echo.WrapHandler(http.HandlerFunc(h.quarantine.ServeTrials)))
+	peers.POST(ratelimit.PathPermits, echo.WrapHandler(h.rateLimits.Handler()))
+	peers.POST(quarantine.PathRecords, echo.WrapHandler(h.quarantine.RecordsHandler()))
+	peers.POST(quota.PathQuota, echo.WrapHandler(h.quotas.Handler()))
+	peers.POST(quarantine.PathTrials, echo.WrapHandler(h.quarantine.TrialsHandler()))
 	queries := aggregate.NewServer(h.gateway, h.isLeaving, h.readBudget, h.scope.SubScope("aggregate"), h.log)
 	peers.POST(aggregate.PathQuery, func(c echo.Context) error {
 		// echo's own writer would take the interim response for the final one.
--- a/internal/quarantine/errors.go
+++ b/internal/quarantine/errors.go
@@ -24,12 +24,6 @@
 // Error implements error.
 func (e *MessageError) Error() string { return "malformed quarantine message: " + e.Problem }
 
-// PeerStatusError reports a peer that did not take records or answer a question.
-type PeerStatusError struct{ Peer, Status string }
-
-// Error implements error.
-func (e *PeerStatusError) Error() string { return "peer " + e.Peer + " answered " + e.Status }
-
 // OptionError reports an unset field of Options.
 type OptionError struct{ Option string }
 
--- a/internal/quarantine/http.go
+++ b/internal/quarantine/http.go
@@ -1,15 +1,12 @@
 package quarantine
 
 import (
-	"bytes"
 	"context"
-	"net"
 	"net/http"
-	"time"
 
 	"github.com/pkg/errors"
 
-	"github.com/arbutusgauge/arbutusgauge/internal/readlimit"
+	"github.com/arbutusgauge/arbutusgauge/internal/peerhttp"
 )
 
 // PathRecords is the path at which a host takes records from its peers, PathTrials the one
@@ -19,94 +16,58 @@
 	PathTrials  = "/v1/trial"
 )
 
-const (
-	// maxMessageBytes bounds the body of one call, which has maxTold records.
-	maxMessageBytes = 1 << 20
-	peerIdleTimeout = 10 * time.Second
-	peerHeadBytes   = 16 << 10
-)
-
-// ServeRecords takes the records of another host.
-func (r *Registry) ServeRecords(w http.ResponseWriter, request *http.Request) {
-	body, err := readlimit.ReadAll(request.Body, request.ContentLength, readlimit.Limits{What: "records of suspected requests", Max: maxMessageBytes})
-	var records []Known
-	if err == nil {
-		records, err = decodeRecords(body)
-	}
-	if err == nil {
-		err = r.Learn(records)
-	}
-	if err != nil {
-		r.options.Logger.WithError(err).Warn("records of suspected requests refused")
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	w.WriteHeader(http.StatusOK)
-}
-
-// ServeTrials answers the question of another host for a trial: 409 means that this host
-// leads no data centre.
-func (r *Registry) ServeTrials(w http.ResponseWriter, request *http.Request) {
-	body, err := readlimit.ReadAll(request.Body, request.ContentLength, readlimit.Limits{What: "question for a trial", Max: maxMessageBytes})
-	var text []byte
-	if err == nil {
-		text, err = r.AnswerQuestion(body)
-	}
-	var noLeader *NoLeaderError
-	switch {
-	case errors.As(err, &noLeader):
-		w.WriteHeader(http.StatusConflict)
-		return
-	case err != nil:
-		r.options.Logger.WithError(err).Warn("question for a trial refused")
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	if _, err := w.Write(text); err != nil {
-		r.options.Logger.WithError(err).Warn("answer for a trial not delivered")
-	}
-}
+// maxMessageBytes bounds the body of one call, which has maxTold records.
+const maxMessageBytes = 1 << 20
 
 // HTTPTransport carries records and questions by HTTP.
-type HTTPTransport struct{ client *http.Client }
+type HTTPTransport struct{ client *peerhttp.Client }
 
 var _ Transport = (*HTTPTransport)(nil)
 
 // NewHTTPTransport returns a transport without connections.
 func NewHTTPTransport() *HTTPTransport {
-	return &HTTPTransport{client: &http.Client{Transport: &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: tellTimeout}).DialContext,
-		IdleConnTimeout:        peerIdleTimeout,
-		MaxResponseHeaderBytes: peerHeadBytes,
-	}}}
+	return &HTTPTransport{client: peerhttp.NewClient(tellTimeout, maxMessageBytes)}
 }
 
 // Tell implements Transport.
 func (t *HTTPTransport) Tell(ctx context.Context, peer string, records []byte) error {
-	_, err := t.post(ctx, peer, PathRecords, records)
+	_, err := t.client.Post(ctx, peer, PathRecords, records)
 	return err
 }
 
 // Ask implements Transport.
 func (t *HTTPTransport) Ask(ctx context.Context, peer string, question []byte) ([]byte, error) {
-	return t.post(ctx, peer, PathTrials, question)
+	return t.client.Post(ctx, peer, PathTrials, question)
 }
 
-// post makes a call to a peer and returns the body of its response. *PeerStatusError reports
-// a status other than 200.
-func (t *HTTPTransport) post(ctx context.Context, peer, path string, body []byte) ([]byte, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer+path, bytes.NewReader(body))
-	if err != nil {
-		return nil, errors.WithStack(err)
-	}
-	response, err := t.client.Do(request)
-	if err != nil {
-		return nil, errors.WithStack(err)
+// RecordsHandler takes the records of other hosts.
+func (r *Registry) RecordsHandler() http.Handler {
+	return r.handler("records of suspected requests", func(message []byte) ([]byte, error) {
+		records, err := decodeRecords(message)
+		if err != nil {
+			return nil, err
+		}
+		return nil, r.Learn(records)
+	})
+}
+
+// TrialsHandler answers the questions of other hosts for trials: 409 means that this host
+// leads no data centre.
+func (r *Registry) TrialsHandler() http.Handler {
+	return r.handler("question for a trial", r.AnswerQuestion)
+}
+
+func (r *Registry) handler(what string, answer func([]byte) ([]byte, error)) http.Handler {
+	return &peerhttp.Handler{
+		What: what, MaxBytes: maxMessageBytes, Answer: answer, StatusOf: statusOf, Logger: r.options.Logger,
 	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return nil, errors.WithStack(&PeerStatusError{Peer: peer, Status: response.Status})
+}
+
+// statusOf returns the HTTP status for a message that was refused.
+func statusOf(err error) int {
+	var noLeader *NoLeaderError
+	if errors.As(err, &noLeader) {
+		return http.StatusConflict
 	}
-	return readlimit.ReadAll(response.Body, response.ContentLength, readlimit.Limits{What: "answer of a peer", Max: maxMessageBytes})
+	return http.StatusBadRequest
 }
--- a/internal/quarantine/trial_test.go
+++ b/internal/quarantine/trial_test.go
@@ -385,7 +385,7 @@
 	inFleet(t, func(t *testing.T, f *testFleet) {
 		ask := func(name, body string) int {
 			w := httptest.NewRecorder()
-			f.hosts[name].ServeTrials(w, httptest.NewRequestWithContext(context.Background(), http.MethodPost, PathTrials, strings.NewReader(body)))
+			f.hosts[name].TrialsHandler().ServeHTTP(w, httptest.NewRequestWithContext(context.Background(), http.MethodPost, PathTrials, strings.NewReader(body)))
 			return w.Code
 		}
 		const key = `"key":"02000000000000000000000000000000"`
--- a/internal/quota/errors.go
+++ b/internal/quota/errors.go
@@ -25,13 +25,12 @@
 	return text + ", retry after " + e.RetryAfter.String()
 }
 
-// GrantorError reports a grantor that refused a report. Status is that of its response.
-type GrantorError struct{ Peer, Status string }
+// LateAnswerError reports an answer that came so late that the grantor may count the host no
+// more, because the host was suspended meanwhile.
+type LateAnswerError struct{ Grantor string }
 
 // Error implements error.
-func (e *GrantorError) Error() string {
-	return "peer " + e.Peer + " refused a quota report: " + e.Status
-}
+func (e *LateAnswerError) Error() string { return "grantor " + e.Grantor + " answered too late" }
 
 // StaleReportError reports a report that a newer one of the same host has overtaken.
 type StaleReportError struct {
--- a/internal/quota/link.go
+++ b/internal/quota/link.go
@@ -184,7 +184,7 @@
 	l.inFlight = false
 	if now-s.sentAt > askTimeout+leaseGrace/2 && err == nil {
 		// This host was suspended; the leader may have given the credits up.
-		err = errors.WithStack(&GrantorError{Peer: l.address, Status: "answered too late"})
+		err = errors.WithStack(&LateAnswerError{Grantor: l.address})
 	}
 	if err != nil {
 		if errors.Is(err, syscall.ECONNREFUSED) {
--- a/internal/quota/registry_test.go
+++ b/internal/quota/registry_test.go
@@ -16,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/arbutusgauge/arbutusgauge/internal/account"
+	"github.com/arbutusgauge/arbutusgauge/internal/peerhttp"
 )
 
 // single returns a fleet of one host, which grants for itself, with one account.
@@ -185,7 +186,7 @@
 	})
 	g.Expect(err).NotTo(HaveOccurred())
 	r.SetHosts(1)
-	server := httptest.NewServer(http.HandlerFunc(r.ServeReports))
+	server := httptest.NewServer(r.Handler())
 	address := strings.TrimPrefix(server.URL, "http://")
 	transport := NewHTTPTransport()
 	text, err := transport.Ask(context.Background(), address, []byte(validReport))
@@ -197,7 +198,7 @@
 	g.Expect(answered.Accounts[0].Granted).To(BeNumerically(">", 0))
 	for body, status := range map[string]string{validReport: "409 Conflict", "{}": "400 Bad Request"} {
 		_, err := transport.Ask(context.Background(), address, []byte(body))
-		var refused *GrantorError
+		var refused *peerhttp.StatusError
 		g.Expect(errors.As(err, &refused)).To(BeTrue())
 		g.Expect(refused.Status).To(Equal(status))
 	}
--- a/internal/quota/simulation_test.go
+++ b/internal/quota/simulation_test.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/arbutusgauge/arbutusgauge/internal/account"
+	"github.com/arbutusgauge/arbutusgauge/internal/peerhttp"
 )
 
 const (
@@ -179,7 +180,7 @@
 	to := f.hosts[peer]
 	if to == nil { // not started
 		f.mu.Unlock()
-		return nil, &GrantorError{Peer: peer}
+		return nil, &peerhttp.StatusError{Peer: peer}
 	}
 	if to.down && !h.cutOff {
 		f.mu.Unlock()
--- a/internal/ratelimit/ask.go
+++ b/internal/ratelimit/ask.go
@@ -254,17 +254,12 @@
 	return decoded.Permissions, nil
 }
 
-// NoGrantorError reports that a data centre has no host that grants permits. Peer and
-// Status are set if a host refused.
-type NoGrantorError struct{ Peer, Status string }
+// NoGrantorError reports that a data centre has no host that grants permits, or that this
+// host is none.
+type NoGrantorError struct{}
 
 // Error implements error.
-func (e *NoGrantorError) Error() string {
-	if e.Peer == "" {
-		return "data centre has no leader that grants permits"
-	}
-	return "peer " + e.Peer + " grants no permits: " + e.Status
-}
+func (*NoGrantorError) Error() string { return "no leader grants permits" }
 
 // Answer answers the question of another host. *NoGrantorError means that this host does
 // not lead its data centre: two grantors would allow twice the limit. *MessageError
