quarantine: read the verdicts at the start from older data of the store

Cause: each host that starts with all others read the verdicts with a full read, 27 to 79 calls at once. Change: this read may be of older data, which costs a tenth. The leader that reads the store still reads the newest. Result: the tests of quarantine and of verdicts in platform/ pass.

--- a/internal/quarantine/verdicts.go
+++ b/internal/quarantine/verdicts.go
@@ -71,9 +71,10 @@
 
 // Store keeps verdicts beyond the end of all processes.
 type Store interface {
-	// Load returns the verdicts. A malformed value counts as none.
-	Load(ctx context.Context) ([]Verdict, error)
-	// Save replaces the verdicts that the last Load returned. *ConflictError means that
+	// Load returns the verdicts. A malformed value counts as none. stale permits a cheaper
+	// read of older data, of seconds at most.
+	Load(ctx context.Context, stale bool) ([]Verdict, error)
+	// Save replaces the verdicts that the last Load without stale returned. *ConflictError means that
 	// they were changed meanwhile. After another error they may have been replaced.
 	Save(ctx context.Context, verdicts []Verdict) error
 	// Era returns a number that rises when the store is restored from an older copy.
@@ -225,7 +226,7 @@
 // sync reads the verdicts of the store and writes those that it lacks.
 func (s *saver) sync(ctx context.Context) error {
 	r := s.registry
-	stored, err := r.load(ctx)
+	stored, err := r.load(ctx, false)
 	if err != nil {
 		return err
 	}
@@ -245,10 +246,10 @@
 }
 
 // load reads the verdicts of the store and learns them.
-func (r *Registry) load(ctx context.Context) ([]Verdict, error) {
+func (r *Registry) load(ctx context.Context, stale bool) ([]Verdict, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	verdicts, err := r.options.Store.Load(ctx)
+	verdicts, err := r.options.Store.Load(ctx, stale)
 	if err != nil {
 		return nil, err
 	}
@@ -312,7 +313,9 @@
 		if r.Started() {
 			return
 		}
-		_, err := r.load(ctx)
+		// Many hosts may start at once. The leader that reads the store knows the newest
+		// verdicts, and this host has them soon with the state of a peer.
+		_, err := r.load(ctx, true)
 		if err == nil {
 			return
 		}
--- a/internal/quarantine/verdicts_test.go
+++ b/internal/quarantine/verdicts_test.go
@@ -39,7 +39,7 @@
 	return nil
 }
 
-func (s *fakeStore) Load(ctx context.Context) ([]Verdict, error) {
+func (s *fakeStore) Load(ctx context.Context, _ bool) ([]Verdict, error) {
 	s.set(func() { s.loads++ })
 	if err := s.fault(ctx); err != nil {
 		return nil, err
