Describe replicas, limits, judgements and peers without effects

Cause: an explanation of where a request would go must read what the choice of a replica uses, and change nothing. EstimateWait names no reason, StatedUncertainty records a metric, Registry.Allows drops permits, and the engine creates the state of a service on first use.

Change: owner, ratelimit, scatter and aggregate each have a describe.go that only reads. estimateWait and choosePeer share their calculation with it. balance.View keeps the newest report as stated.

--- a/internal/aggregate/client.go
+++ b/internal/aggregate/client.go
@@ -80,16 +80,8 @@
 func (c *Client) choosePeer(now time.Time) Peer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, group := range c.options.Peers() {
-		var usable []Peer
-		for _, peer := range group {
-			if !now.Before(c.avoidUntil[peer.Addr]) {
-				usable = append(usable, peer)
-			}
-		}
-		if len(usable) > 0 {
-			return usable[rand.IntN(len(usable))]
-		}
+	if usable := c.usablePeers(now); len(usable) > 0 {
+		return usable[rand.IntN(len(usable))]
 	}
 	return Peer{}
 }
--- a/internal/balance/view.go
+++ b/internal/balance/view.go
@@ -47,8 +47,9 @@
 // answers take. The zero value knows nothing. It is not safe for concurrent use.
 type View struct {
 	at       time.Time // of the newest report
-	others   faded     // requests of other hosts
-	slowness faded     // factor on the usual time of work, less 1
+	newest   wire.StatedLoad
+	others   faded // requests of other hosts
+	slowness faded // factor on the usual time of work, less 1
 	slots    int
 	// excludesOwn is set once an answer stated nothing running: such a replica does not
 	// count the request that it answers.
@@ -104,7 +105,7 @@
 	after, first := now.Sub(v.at), !v.Known(now)
 	v.others.add(max(0, total-float64(inFlight)), after, first)
 	v.slowness.add(float64(slowness)/wire.UsualSlowness-1, after, first)
-	v.at, v.slots = now, int(load.Slots)
+	v.at, v.newest, v.slots = now, load, int(load.Slots)
 }
 
 // Answer records the time from sending a request to its answer. Call it after Report with
@@ -134,6 +135,9 @@
 // States reports whether the replica has ever stated a load.
 func (v *View) States() bool { return !v.at.IsZero() }
 
+// Stated returns the newest report as the replica stated it.
+func (v *View) Stated() wire.StatedLoad { return v.newest }
+
 // Age returns the time since the newest report, 0 if there is none.
 func (v *View) Age(now time.Time) time.Duration {
 	if v.at.IsZero() {
--- a/internal/owner/estimate.go
+++ b/internal/owner/estimate.go
@@ -28,6 +28,12 @@
 	if !r.usable() || !r.owner.options.RateLimiter.Allows(r.id) {
 		return 0, false
 	}
+	return r.expectedAnswerTime(now), true
+}
+
+// expectedAnswerTime returns the expected time until the replica answers one more sub-request.
+// The caller holds mu.
+func (r *replica) expectedAnswerTime(now time.Time) time.Duration {
 	mean := r.estimatedLatency(now)
 	ahead := r.inFlight + len(r.queue)
 	wait := mean + time.Duration(ahead)*mean/time.Duration(r.slotLimit(now))
@@ -40,7 +46,7 @@
 	if r.pool.openCount == 0 {
 		wait += dialPenalty
 	}
-	return wait, true
+	return wait
 }
 
 // usable reports whether the replica can be reached and takes work, apart from its
