Explain where a request would go, and why, without sending it

Cause: operators could not tell why a request goes to a replica, or is refused, without sending one.

Change: gaugectl explain reads host, path and an optional key from standard input. edged answers POST /v1/explain on the metrics listener: route, account, refusals, aggregators, and for each shard the candidate replicas with their reasons and the choice. Lost answers of a POST that only reads now count as such in gaugectl.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -22,6 +22,7 @@
 	"github.com/arbutusgauge/arbutusgauge/internal/aggregate"
 	"github.com/arbutusgauge/arbutusgauge/internal/boottime"
 	"github.com/arbutusgauge/arbutusgauge/internal/catalog"
+	"github.com/arbutusgauge/arbutusgauge/internal/explain"
 	"github.com/arbutusgauge/arbutusgauge/internal/gateway"
 	"github.com/arbutusgauge/arbutusgauge/internal/lead"
 	"github.com/arbutusgauge/arbutusgauge/internal/owner"
@@ -63,6 +64,7 @@
 	engine        *scatter.Engine
 	gateway       *gateway.Gateway
 	callerHandler *platform.CallerHandler
+	explainer     *explain.Explainer
 	reachability  *reachability
 	// holding are the data centres that hold the replicas of merged queries.
 	holding atomic.Pointer[map[string]bool]
@@ -244,6 +246,7 @@
 		Scope:  h.scope.SubScope("aggregate"),
 		Logger: h.log,
 	})
+	h.explainer = h.newExplainer(forwarder)
 	var err error
 	h.gateway, err = gateway.New(gateway.Options{
 		Engine: h.engine, View: h.catalog.View, Forwarder: forwarder, OnNewerTable: h.catalog.CatchUp, Permits: h.rateLimits,
@@ -322,6 +325,7 @@
 		_, err := h.metrics.WriteTo(c.Response())
 		return errors.WithStack(err)
 	})
+	metrics.POST(explain.Path, h.serveExplain)
 	for _, s := range []struct {
 		addr    string
 		handler http.Handler
--- a/internal/operator/app.go
+++ b/internal/operator/app.go
@@ -36,7 +36,7 @@
 // Run parses the command line, runs one command and returns its exit code.
 // Results go to stdout; warnings and errors go to stderr.
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer) ExitCode {
-	opts := Options{Stdout: stdout, Stderr: stderr}
+	opts := Options{Stdin: os.Stdin, Stdout: stdout, Stderr: stderr}
 	app, commands := newApp(&opts)
 	name, err := app.Parse(args)
 	if err != nil {
@@ -106,6 +106,7 @@
 	addNoteCommands(app, commands)
 	addStateCommands(app, commands)
 	addSearchCommands(app, commands)
+	addExplainCommand(app, commands)
 	return app, commands
 }
 
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -41,6 +41,7 @@
 	header       map[string]string
 	body         []byte
 	timeout      time.Duration // 0 means hostClient.timeout
+	readOnly     bool          // the call changes nothing although its method is not GET
 }
 
 // send makes the call on one host and decodes an answer with status 200 into
@@ -51,7 +52,7 @@
 	if timeout == 0 {
 		timeout = c.timeout
 	}
-	readOnly := call.method == http.MethodGet
+	readOnly := call.readOnly || call.method == http.MethodGet
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var connected atomic.Bool
--- a/internal/operator/options.go
+++ b/internal/operator/options.go
@@ -35,6 +35,7 @@
 	Hosts          []string      // HTTP addresses of entry hosts, tried in order
 	Output         string        // "text" or "json"; the default is "text"
 	RequestTimeout time.Duration // of one call other than a search; the default is 10 s
+	Stdin          io.Reader     // read by the explain command
 	Stdout, Stderr io.Writer
 }
 
