catalog: write the head of a full state before it is flushed

Cause: a flush of echo's writer sends the head without marking it as sent, so the first write sent it once more; net/http printed 'superfluous response.WriteHeader call' to standard error for each full state. Change: the status is written before the flush. Result: go test ./internal/catalog passes; the line is gone from the tests of evacuations.

--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -121,6 +121,7 @@
 	w.Header().Set("Content-Type", "application/json")
 	if answer.Full {
 		// It takes a while to encode. The head shows the host that this one is not suspended.
+		w.WriteHeader(http.StatusOK)
 		_ = http.NewResponseController(w).Flush()
 	}
 	if err := json.NewEncoder(w).Encode(answer); err != nil {
