--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -47,8 +47,8 @@
 
 // Credential is what a request carries to show its account.
 type Credential struct {
-	// Present is whether the request carries any credential, also one that can't be
-	// read and matches no account.
+	// Present is whether the request carries any credential. One that can't be read is
+	// present too, and matches no account.
 	Present bool
 	Hash    KeyHash
 }
--- a/internal/account/errors.go
+++ b/internal/account/errors.go
@@ -7,5 +7,5 @@
 
 // Error implements error.
 func (e *KeyHashError) Error() string {
-	return "hash of a key has " + strconv.Itoa(e.Length) + " characters"
+	return "hash of a key has " + strconv.Itoa(e.Length) + " characters, not 64"
 }
--- a/internal/balance/choice.go
+++ b/internal/balance/choice.go
@@ -7,7 +7,7 @@
 
 // Candidate is a replica that a request may be sent to.
 type Candidate struct {
-	// Wait is the expected time to the answer, with the price of the way.
+	// Wait is the expected time to the answer, including the price of the network path.
 	Wait time.Duration
 	// Uncertainty is how far Wait may be off, as View.Estimate returns it; 0: it is exact.
 	Uncertainty time.Duration
--- a/internal/balance/view.go
+++ b/internal/balance/view.go
@@ -24,19 +24,19 @@
 	reportMaxAge = 5 * time.Second
 	// maxWait bounds the estimates, so that a replica that states millions of requests has one.
 	maxWait = time.Minute
-	// assumedService is the time of work assumed before the first answer.
-	assumedService = 20 * time.Millisecond
-	// serviceHalfLife is the time without an answer in which the known time of work
-	// halves until it is at most assumedService, so that a replica that was slow without
+	// assumedServiceTime is the time of work assumed before the first answer.
+	assumedServiceTime = 20 * time.Millisecond
+	// serviceTimeHalfLife is the time without an answer in which the known time of work
+	// halves until it is at most assumedServiceTime, so that a replica that was slow without
 	// stating it is tried again.
-	serviceHalfLife = 2 * time.Second
-	// minService is the least time of work: from 0 on, serviceLimit would allow no growth.
-	minService = 100 * time.Microsecond
+	serviceTimeHalfLife = 2 * time.Second
+	// minServiceTime is the least time of work: from 0 on, maxAnswerFactor would allow no growth.
+	minServiceTime = 100 * time.Microsecond
 	// serviceDivisor is the inverse weight of an answer in the known time of work, and
-	// serviceLimit the greatest factor by which one answer counts above it. Of a replica that
+	// maxAnswerFactor the greatest factor by which one answer counts above it. Of a replica that
 	// states its slowness, neither a slow turn nor a pause belongs to the usual time.
-	serviceDivisor = 8
-	serviceLimit   = 2
+	serviceDivisor  = 8
+	maxAnswerFactor = 2
 	// uncertaintyShare is the share of the standard deviation of the unseen requests that
 	// Estimate returns as uncertainty. Twice of it or more sends more requests far away,
 	// without a gain (docs/design/even-load.md).
@@ -110,13 +110,13 @@
 
 // Answer records the time from sending a request to its answer. Call it after Report with
 // the load that the answer states. A pause or a queue in the time counts as at most
-// serviceLimit times the known time, so that one pause doesn't make a replica look slow.
+// maxAnswerFactor times the known time, so that one pause doesn't make a replica look slow.
 func (v *View) Answer(took time.Duration, now time.Time) {
-	usual := max(minService, time.Duration(float64(took)/v.Slowness(now)))
+	usual := max(minServiceTime, time.Duration(float64(took)/v.Slowness(now)))
 	if v.serviceAt.IsZero() {
 		v.service = usual
 	} else {
-		v.service += (min(usual, serviceLimit*v.service) - v.service) / serviceDivisor
+		v.service += (min(usual, maxAnswerFactor*v.service) - v.service) / serviceDivisor
 	}
 	v.serviceAt = now
 }
@@ -165,10 +165,10 @@
 // Service returns the usual time from sending a request to the answer of an idle replica.
 func (v *View) Service(now time.Time) time.Duration {
 	if v.serviceAt.IsZero() {
-		return assumedService
+		return assumedServiceTime
 	}
 	service := v.service
-	for age := now.Sub(v.serviceAt); age > serviceHalfLife && service > assumedService; age -= serviceHalfLife {
+	for age := now.Sub(v.serviceAt); age > serviceTimeHalfLife && service > assumedServiceTime; age -= serviceTimeHalfLife {
 		service /= 2
 	}
 	return service
--- a/internal/catalog/position_test.go
+++ b/internal/catalog/position_test.go
@@ -113,6 +113,6 @@
 		time.Sleep(time.Millisecond)
 		poll()
 		g.Expect(host.Servers()).To(ConsistOf(stays))
-		g.Expect(host.mustCompare(cursor)).To(BeFalse(), "once is enough")
+		g.Expect(host.needsFullState(cursor)).To(BeFalse(), "once is enough")
 	})
 }
--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -249,7 +249,7 @@
 		cursor.version = view.Table.Version
 	}
 	cursor.known = c.knownPosition()
-	if c.mustCompare(cursor) {
+	if c.needsFullState(cursor) {
 		cursor.run, cursor.newest = 0, 0
 	}
 	timeout := peerTimeout
@@ -309,10 +309,10 @@
 	return nil
 }
 
-// mustCompare reports whether the full state of a peer is due after a restoration of the
+// needsFullState reports whether the full state of a peer is due after a restoration of the
 // source. Until the servers have registered again, hosts at the same position can know
 // different servers, which they had learned in the era before.
-func (c *Catalog) mustCompare(cursor *peerCursor) bool {
+func (c *Catalog) needsFullState(cursor *peerCursor) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	settledAt := c.restoredAt.Add(reregisterGrace)
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -99,9 +99,43 @@
 	return h, nil
 }
 
-// newCatalog creates the modules that keep the table, the servers and the seats.
+// newCatalog creates the modules that keep the table, the servers and the seats, and those
+// whose state they pass on to peers.
 func (h *Host) newCatalog() error {
 	store := platform.NewStore(h.settings.StoreAddr, h.scope.SubScope("store"), h.log)
+	if err := h.newRateLimits(); err != nil {
+		return err
+	}
+	if err := h.newQuarantine(store); err != nil {
+		return err
+	}
+	if err := h.newQuotas(); err != nil {
+		return err
+	}
+	if err := h.newLead(store); err != nil {
+		return err
+	}
+	var err error
+	h.catalog, err = catalog.New(catalog.Options{
+		Source:       store,
+		AnswerMargin: answerMargin,
+		Leadership:   h.lead,
+		RateLimits:   h.rateLimits,
+		Quarantine:   peerRecords{h.quarantine},
+		HostName:     h.settings.Host,
+		PeerAddr:     h.settings.PeerAddr,
+		Cores:        h.settings.Cores,
+		Clock:        boottime.Now,
+		ExtraLoad:    h.settings.ExtraLoad * extraBudgetShare,
+		ExtraBurst:   int(float64(h.settings.ExtraBurst) * extraBudgetShare),
+		Scope:        h.scope.SubScope("catalog"),
+		Logger:       h.log,
+	})
+	return err
+}
+
+// newRateLimits creates the module that keeps the rate limits of replicas.
+func (h *Host) newRateLimits() error {
 	var err error
 	h.rateLimits, err = ratelimit.New(ratelimit.Options{
 		Clock:        boottime.Now,
@@ -112,9 +146,13 @@
 		Scope:        h.scope.SubScope("ratelimit"),
 		Logger:       h.log,
 	})
-	if err != nil {
-		return err
-	}
+	return err
+}
+
+// newQuarantine creates the module that keeps requests away from the servers that they
+// crash.
+func (h *Host) newQuarantine(store *platform.Store) error {
+	var err error
 	h.quarantine, err = quarantine.New(quarantine.Options{
 		Addr:      h.settings.PeerAddr,
 		Clock:     boottime.Now,
@@ -128,12 +166,12 @@
 		Scope:     h.scope.SubScope("quarantine"),
 		Logger:    h.log,
 	})
-	if err != nil {
-		return err
-	}
-	if err := h.newQuotas(); err != nil {
-		return err
-	}
+	return err
+}
+
+// newLead creates the agent for the seats of the entry hosts.
+func (h *Host) newLead(store *platform.Store) error {
+	var err error
 	h.lead, err = lead.New(lead.Options{
 		Registry: platform.NewSeatRegistry(store),
 		Host: lead.Host{
@@ -149,24 +187,6 @@
 		},
 		Logger: h.log,
 	})
-	if err != nil {
-		return err
-	}
-	h.catalog, err = catalog.New(catalog.Options{
-		Source:       store,
-		AnswerMargin: answerMargin,
-		Leadership:   h.lead,
-		RateLimits:   h.rateLimits,
-		Quarantine:   peerRecords{h.quarantine},
-		HostName:     h.settings.Host,
-		PeerAddr:     h.settings.PeerAddr,
-		Cores:        h.settings.Cores,
-		Clock:        boottime.Now,
-		ExtraLoad:    h.settings.ExtraLoad * extraBudgetShare,
-		ExtraBurst:   int(float64(h.settings.ExtraBurst) * extraBudgetShare),
-		Scope:        h.scope.SubScope("catalog"),
-		Logger:       h.log,
-	})
 	return err
 }
 
@@ -227,8 +247,10 @@
 		log:                h.log,
 	}
 	h.catalog.OnChange(func(v *catalog.View) {
-		h.rateLimits.SetWarmUps(v.WarmUps) // before replicas are used
-		h.owner.SetEvacuated(v.Evacuated)  // first, so that new replicas there get no connections
+		// Before SetConfig, so that new replicas are neither used without their limits nor
+		// connected while they are out of use.
+		h.rateLimits.SetWarmUps(v.WarmUps)
+		h.owner.SetEvacuated(v.Evacuated)
 		h.owner.SetConfig(v.Config)
 		h.engine.Retain(v.Config)
 		holding := holdingDataCentres(v.Config)
@@ -287,7 +309,7 @@
 	if h.owner.Evacuated(replica) {
 		return 0
 	}
-	return h.rateLimits.RetryIn(replica)
+	return h.rateLimits.ColdPermitIn(replica)
 }
 
 // isLeaving reports whether callers and peers should use another host, because
--- a/internal/edge/reachability.go
+++ b/internal/edge/reachability.go
@@ -69,7 +69,7 @@
 func (r *reachability) reachesEnoughShards(service *release.Service, minFraction float64) bool {
 	reached, withReplicas, shards := 0, 0, len(service.Shards)
 	for i := range service.Shards {
-		if r.isOutOfUse(&service.Shards[i]) {
+		if r.isEvacuatedShard(&service.Shards[i]) {
 			shards--
 			continue
 		}
@@ -84,8 +84,8 @@
 	return withReplicas == 0 || reached > 0 && float64(reached) >= minFraction*float64(shards)
 }
 
-// isOutOfUse reports whether a shard has replicas, all of them out of use.
-func (r *reachability) isOutOfUse(shard *release.Shard) bool {
+// isEvacuatedShard reports whether a shard has replicas, all of them out of use.
+func (r *reachability) isEvacuatedShard(shard *release.Shard) bool {
 	if r.isEvacuated == nil || len(shard.Replicas) == 0 {
 		return false
 	}
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -15,8 +15,8 @@
 // Error implements error.
 func (e *NoRouteError) Error() string { return "no route for host " + e.Host + " and path " + e.Path }
 
-// UnauthenticatedError reports a request without a key of a client account. The request
-// did not run.
+// UnauthenticatedError reports a request whose key is missing, or of no client account. The
+// request did not run.
 type UnauthenticatedError struct{ Route string }
 
 // Error implements error.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,14 +85,14 @@
 		return nil, result, &NoRouteError{Host: request.Host, Path: request.Path}
 	}
 	result.Route = route
-	answer, err := g.answerIdentified(ctx, view, request, &result)
+	answer, err := g.answerForAccount(ctx, view, request, &result)
 	g.recordMetrics(route, request, err)
 	return answer, result, err
 }
 
-// answerIdentified answers a request whose route is known if its client account may make
+// answerForAccount answers a request whose route is known if its client account may make
 // it.
-func (g *Gateway) answerIdentified(ctx context.Context, view *catalog.View, request *Request, result *Result) (*Answer, error) {
+func (g *Gateway) answerForAccount(ctx context.Context, view *catalog.View, request *Request, result *Result) (*Answer, error) {
 	from, ok := view.Table.Identify(result.Route, request.Credential)
 	if !ok {
 		return nil, &UnauthenticatedError{Route: result.Route.Name}
@@ -181,7 +181,7 @@
 	ran := true // unless the engine proves that it did not run
 	defer func() { admission.Done(ran) }()
 	query.ServersEnded = admission.ServersEnded
-	takeTime(&query, time.Since(began))
+	deductWait(&query, time.Since(began))
 	if admission.Timeout > 0 {
 		query.Deadline = min(query.Deadline, admission.Timeout)
 	}
@@ -204,11 +204,12 @@
 	}
 	began := time.Now()
 	g.options.Permits.Prepare(ctx, service)
-	takeTime(query, time.Since(began))
+	deductWait(query, time.Since(began))
 }
 
-// takeTime takes the time that a query has waited for a permission from its deadline.
-func takeTime(query *scatter.Query, waited time.Duration) {
+// deductWait deducts from the deadline of a query the time that it has waited for a
+// permission.
+func deductWait(query *scatter.Query, waited time.Duration) {
 	query.Elapsed += waited
 	// A deadline of 0 would mean that of the search.
 	query.Deadline = max(query.Deadline-waited, time.Nanosecond)
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -31,9 +31,8 @@
 	Arrived  time.Time
 	// Credential shows the client account of the request.
 	Credential account.Credential
-	// Payload returns the payload for the replicas. part tells the adapter of the
-	// replicas whether the request is for a part of a merged answer, from whom the
-	// request is.
+	// Payload returns the payload for the replicas. part is whether the request is for a part
+	// of a merged answer, and from is whom it is from.
 	Payload func(part bool, from account.Identity) []byte
 	// Key identifies the request when it comes again; the zero value disables the
 	// quarantine for it.
--- a/internal/owner/describe.go
+++ b/internal/owner/describe.go
@@ -61,7 +61,8 @@
 	return d
 }
 
-// obstacle returns the first reason for which usable returns false. The caller holds mu.
+// obstacle returns why the replica is not usable, apart from its rate limit. The caller
+// holds mu.
 func (r *replica) obstacle() Obstacle {
 	switch {
 	case r.removed:
--- a/internal/owner/estimate.go
+++ b/internal/owner/estimate.go
@@ -51,10 +51,7 @@
 
 // usable reports whether the replica can be reached and takes work, apart from its
 // rate limit. The caller holds mu.
-func (r *replica) usable() bool {
-	return !r.removed && !r.closed && !r.health.draining() && !r.pool.unreachable() && !r.dataCentre.silent.Load() &&
-		!r.dataCentre.evacuated.Load() && r.owner.BackoffOf(r.id) == 0
-}
+func (r *replica) usable() bool { return r.obstacle() == ObstacleNone }
 
 // estimatedLatency returns the recent mean latency, halved for each
 // latencyHalfLife without a sample until it is at most assumedLatency, and what is left of
--- a/internal/owner/notices.go
+++ b/internal/owner/notices.go
@@ -61,7 +61,7 @@
 		return false
 	}
 	if len(n.backoffUntil) >= maxBackoffServers {
-		n.forgetLast()
+		n.forgetLongest()
 	}
 	n.backoffUntil[id] = until
 	if backoff > longBackoff {
@@ -80,8 +80,8 @@
 	}
 }
 
-// forgetLast forgets the backoff that ends last.
-func (n *notices) forgetLast() {
+// forgetLongest forgets the backoff that ends last.
+func (n *notices) forgetLongest() {
 	var last wire.ReplicaID
 	for id, until := range n.backoffUntil {
 		if until >= n.backoffUntil[last] {
@@ -92,9 +92,9 @@
 	delete(n.long, last)
 }
 
-// showLongBackoffs updates the gauge of the configured replicas that want no requests for
+// updateLongBackoffs updates the gauge of the configured replicas that want no requests for
 // a long time.
-func (o *Owner) showLongBackoffs() {
+func (o *Owner) updateLongBackoffs() {
 	table := o.table.Load()
 	count := 0
 	o.noticesMu.Lock()
@@ -149,7 +149,7 @@
 	if longer {
 		fx.log("replica asked to back off", logFields(r, "for", backoff))
 		if backoff > longBackoff {
-			fx.log("replica out of use for long at its own request", logFields(r, "for", backoff))
+			fx.log("replica asked to back off for long", logFields(r, "for", backoff))
 		}
 		r.refuseAllQueued(wire.ReasonBackoff, fx)
 		r.beginSlowStart() // it gets a few sub-requests first when the time is over
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -257,7 +257,7 @@
 	o.configMu.Lock()
 	o.dropRemovedReplicas()
 	o.configMu.Unlock()
-	o.showLongBackoffs()
+	o.updateLongBackoffs()
 }
 
 // Stop refuses new sub-requests, waits until the accepted ones are finished and
--- a/internal/peerhttp/peerhttp.go
+++ b/internal/peerhttp/peerhttp.go
@@ -22,14 +22,14 @@
 
 // Client posts messages to peers. It is safe for concurrent use.
 type Client struct {
-	http     *http.Client
+	client   *http.Client
 	maxBytes int64
 }
 
 // NewClient returns a client without connections. dialTimeout bounds the dial to a peer, and
 // maxBytes the body of an answer.
 func NewClient(dialTimeout time.Duration, maxBytes int64) *Client {
-	return &Client{maxBytes: maxBytes, http: &http.Client{Transport: &http.Transport{
+	return &Client{maxBytes: maxBytes, client: &http.Client{Transport: &http.Transport{
 		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxHeadBytes,
@@ -51,7 +51,7 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	response, err := c.http.Do(request)
+	response, err := c.client.Do(request)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
@@ -93,8 +93,8 @@
 	}
 }
 
-// refuse answers a message that was refused. A conflict is usual while leaders change and
-// is not logged.
+// refuse answers a message that was refused. Status 409 is not logged: it is usual, as when
+// leaders change or messages overtake each other.
 func (h *Handler) refuse(w http.ResponseWriter, err error) {
 	status := h.StatusOf(err)
 	if status != http.StatusConflict {
--- a/internal/quarantine/errors.go
+++ b/internal/quarantine/errors.go
@@ -30,11 +30,11 @@
 // Error implements error.
 func (e *OptionError) Error() string { return "option " + e.Option + " of quarantine is required" }
 
-// NoLeaderError reports a host that permits no trials, because it leads no data centre.
-type NoLeaderError struct{}
+// NotLeaderError reports a host that permits no trials, because it leads no data centre.
+type NotLeaderError struct{}
 
 // Error implements error.
-func (*NoLeaderError) Error() string { return "this host leads no data centre and permits no trials" }
+func (*NotLeaderError) Error() string { return "this host leads no data centre and permits no trials" }
 
 // ConflictError reports that another host has changed the verdicts in the store since they
 // were read.
--- a/internal/quarantine/http.go
+++ b/internal/quarantine/http.go
@@ -65,7 +65,7 @@
 
 // statusOf returns the HTTP status for a message that was refused.
 func statusOf(err error) int {
-	var noLeader *NoLeaderError
+	var noLeader *NotLeaderError
 	if errors.As(err, &noLeader) {
 		return http.StatusConflict
 	}
--- a/internal/quarantine/messages.go
+++ b/internal/quarantine/messages.go
@@ -85,7 +85,7 @@
 	now := r.options.Clock()
 	for _, key := range r.verdictKeys() {
 		if known := r.records[key]; known.revision > reached {
-			records = append(records, known.known(key, now))
+			records = append(records, known.toKnown(key, now))
 		}
 	}
 	return records, reached
@@ -113,13 +113,13 @@
 	now := r.options.Clock()
 	out := make([]Known, 0, len(changed))
 	for _, key := range changed {
-		out = append(out, r.records[key].known(key, now))
+		out = append(out, r.records[key].toKnown(key, now))
 	}
 	return out, reached
 }
 
-// known returns the record in the form for another host.
-func (r *record) known(key wire.RequestKey, now time.Duration) Known {
+// toKnown returns the record in the form for another host.
+func (r *record) toKnown(key wire.RequestKey, now time.Duration) Known {
 	k := Known{Key: key, Cleared: r.cleared, Quarantined: r.quarantined, Convicted: r.convicted}
 	if r.quarantined {
 		k.QuarantinedAge = now - r.quarantinedAt
--- a/internal/quarantine/tell.go
+++ b/internal/quarantine/tell.go
@@ -12,8 +12,8 @@
 	// round in which a leader did not take the records.
 	tellTimeout       = 500 * time.Millisecond
 	tellRetryInterval = 400 * time.Millisecond
-	// retellInterval is the time after which a leader is told everything again, because
-	// its process may have restarted.
+	// retellInterval is the time after which a leader is told the recent and the
+	// quarantined records again, because its process may have restarted.
 	retellInterval = 5 * time.Second
 	// maxConcurrentPushes limits the followers that are told at the same time.
 	maxConcurrentPushes = 16
@@ -26,7 +26,7 @@
 	present  bool          // it leads still
 }
 
-// wakeRun makes Run tell the other hosts what is new.
+// wakeRun makes tellLoop tell the other hosts what is new.
 func (r *Registry) wakeRun() {
 	select {
 	case r.news <- struct{}{}:
@@ -163,7 +163,7 @@
 	for key, known := range r.records {
 		if level := known.urgency(); level > known.pushed && len(urgent) < maxTold {
 			known.pushed = level
-			urgent = append(urgent, known.known(key, now))
+			urgent = append(urgent, known.toKnown(key, now))
 		}
 	}
 	if len(urgent) == 0 {
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -120,6 +120,7 @@
 		return admitted, err
 	}
 	askedAt := r.options.Clock()
+	// The question is for all callers of the request, so it goes on if this one leaves.
 	leader, answer := r.ask(context.WithoutCancel(ctx), asked)
 	return r.conclude(key, leader, answer, askedAt)
 }
@@ -142,7 +143,7 @@
 		return 0, nil, r.refuse(key, trialRetryAfter)
 	}
 	known.trial.asking = true
-	return 0, &question{Record: known.known(key, now)}, nil
+	return 0, &question{Record: known.toKnown(key, now)}, nil
 }
 
 // conclude turns the answer of a leader, nil if there was none, into an admission.
@@ -189,7 +190,7 @@
 		r.countTrial(key, known, trialCount{leader: cmp.Or(leader, r.options.Addr), count: permitted.Number, at: now})
 		r.wakeRun()
 	}
-	report := &question{Record: known.known(key, now), ID: permitted.ID, Ran: ran}
+	report := &question{Record: known.toKnown(key, now), ID: permitted.ID, Ran: ran}
 	r.mu.Unlock()
 	if leader == "" {
 		r.endPermission(report)
@@ -265,7 +266,7 @@
 	}
 	if answer == nil {
 		r.metrics.noLeader.Inc(1)
-		r.options.Logger.WithError(failure).WithField("key", asked.Record.Key.String()).Info("no leader permits a trial")
+		r.options.Logger.WithError(failure).WithField("key", asked.Record.Key.String()).Info("no leader answers for a trial")
 	}
 	return answered, answer
 }
@@ -340,6 +341,7 @@
 	if rank < 0 {
 		return 0
 	}
+	// (maxTrials - rank) / len(leaders), rounded up: the first leaders have one more.
 	return max(0, maxTrials-rank+len(leaders)-1) / len(leaders)
 }
 
@@ -381,7 +383,7 @@
 		known.permitted = permission{id: max(1, rand.Uint64()), until: now + trialTimeout, number: number}
 		answer.ID, answer.Number = known.permitted.id, number
 	}
-	answer.Record = known.known(key, now)
+	answer.Record = known.toKnown(key, now)
 	return answer
 }
 
@@ -413,12 +415,12 @@
 	}
 }
 
-// AnswerQuestion answers the question of another host for a trial. *NoLeaderError means
+// AnswerQuestion answers the question of another host for a trial. *NotLeaderError means
 // that this host leads no data centre; *MessageError reports a malformed question.
 func (r *Registry) AnswerQuestion(body []byte) ([]byte, error) {
 	var asked question
 	if err := json.Unmarshal(body, &asked); err != nil {
-		return nil, errors.WithStack(err)
+		return nil, errors.WithStack(&MessageError{Problem: "question is not JSON: " + err.Error()})
 	}
 	if err := r.Learn([]Known{asked.Record}); err != nil {
 		return nil, err
@@ -429,7 +431,7 @@
 		r.endPermission(&asked)
 		answer = &reply{Record: asked.Record}
 	case !r.options.Leads():
-		return nil, errors.WithStack(&NoLeaderError{})
+		return nil, errors.WithStack(&NotLeaderError{})
 	default:
 		answer = r.permit(&asked)
 	}
--- a/internal/quarantine/verdicts.go
+++ b/internal/quarantine/verdicts.go
@@ -218,7 +218,7 @@
 	case err == nil, errors.As(err, &conflict), ctx.Err() != nil:
 	default:
 		r.metrics.storeFailed.Inc(1)
-		r.options.Logger.WithError(err).Info("verdicts not kept in the store")
+		r.options.Logger.WithError(err).Info("verdicts not read from or written to the store")
 		s.nextAt = r.options.Clock() + storeRetryPause
 	}
 }
@@ -293,7 +293,7 @@
 			readyAt = now + startDelay
 		case now >= readyAt:
 			r.started.Store(true)
-			r.options.Logger.Warn("verdicts not known at the start")
+			r.options.Logger.Warn("ready without the verdicts of the store")
 		}
 	}
 	<-read
--- a/internal/quota/errors.go
+++ b/internal/quota/errors.go
@@ -11,16 +11,16 @@
 	Account string
 	// RetryAfter is the time until the quota is expected to have room for the request.
 	RetryAfter time.Duration
-	// OwnShare is whether the host refused the request by its own share of the quota,
-	// because the grantor did not answer.
-	OwnShare bool
+	// WithoutGrantor is whether the grantor did not decide: it did not answer in time, or
+	// this host has none and refused by its equal share.
+	WithoutGrantor bool
 }
 
 // Error implements error.
 func (e *ExceededError) Error() string {
 	text := "quota of account " + e.Account + " is exceeded"
-	if e.OwnShare {
-		text += " by the own share, without the grantor"
+	if e.WithoutGrantor {
+		text += " as far as this host knows, because no grantor answered"
 	}
 	return text + ", retry after " + e.RetryAfter.String()
 }
--- a/internal/quota/grantor.go
+++ b/internal/quota/grantor.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -65,13 +64,13 @@
 	leaders []string
 	address string // of this grantor in the list
 	count   int
-	// refill is the time in seconds, weighted by the part of all hosts that are in the
-	// group. It grows only.
-	refill float64
-	// before are the groups at the moment when this one appeared. Until settledAt, another
-	// grantor may have granted what buckets hold of accounts that the group brings here.
-	before    []*group
-	settledAt time.Duration
+	// weightedSeconds is the time in seconds, weighted by the part of all hosts that are in
+	// the group. It grows only, and buckets are refilled in proportion to it.
+	weightedSeconds float64
+	// groupsBefore are the groups at the moment when this one appeared. Until handoverUntil,
+	// another grantor may have granted what buckets hold; see mayBeGrantedElsewhere.
+	groupsBefore  []*group
+	handoverUntil time.Duration
 }
 
 // grants reports whether the members of the group get their credits of an account here.
@@ -79,23 +78,13 @@
 	return chooseGrantor(gr.leaders, account) == gr.address
 }
 
-// brings reports whether an account was not granted here alone before the group appeared.
-func (gr *group) brings(account string) bool {
+// mayBeGrantedElsewhere reports whether this grantor grants an account for the group that,
+// before the group appeared, another grantor may have granted too.
+func (gr *group) mayBeGrantedElsewhere(account string) bool {
 	if !gr.grants(account) {
 		return false
 	}
-	return len(gr.before) == 0 || slices.ContainsFunc(gr.before, func(other *group) bool { return !other.grants(account) })
-}
-
-// bucket is the token bucket of one account. Credits that hosts hold for later requests
-// are reserved, and taken off the level when they are used.
-type bucket struct {
-	level     float64
-	reserved  int
-	refilled  float64 // sum of refill of its groups at the last update
-	updatedAt time.Duration
-	promised  time.Duration
-	limit     limit
+	return len(gr.groupsBefore) == 0 || slices.ContainsFunc(gr.groupsBefore, func(other *group) bool { return !other.grants(account) })
 }
 
 func newGrantor(limitOf func(*accountReport) limit) *grantor {
@@ -110,7 +99,7 @@
 		return nil, err
 	}
 	if r.Leaving || r.Ended {
-		g.settle(m, r.Accounts)
+		g.takeLastReport(m, r.Accounts)
 		g.silence(m, now)
 		m.gone = r.Ended
 		return &answer{Accounts: make([]accountAnswer, len(r.Accounts))}, nil
@@ -128,15 +117,15 @@
 	return out, nil
 }
 
-// settle takes what a member that leaves states of its credits. Those that it does not
+// takeLastReport takes what a member that leaves states of its credits. Those that it does not
 // hold any more, and has not used, go back to the buckets.
-func (g *grantor) settle(m *member, accounts []accountReport) {
+func (g *grantor) takeLastReport(m *member, accounts []accountReport) {
 	reported := make(map[string]struct{}, len(accounts))
 	for i := range accounts {
 		a := &accounts[i]
 		reported[a.Name] = struct{}{}
 		if c, b := m.credits[a.Name], g.buckets[a.Name]; c != nil && b != nil && c.epoch == a.Epoch {
-			b.settle(c, a)
+			b.chargeUsed(c, a)
 		}
 	}
 	g.releaseOthers(m, reported)
@@ -152,13 +141,6 @@
 	}
 }
 
-// settle takes off the bucket what a member has used of its credits.
-func (b *bucket) settle(c *credits, a *accountReport) {
-	b.level = min(b.level-float64(a.Used-c.used), capacity(b.limit, 1))
-	b.reserved += a.Held - c.held
-	c.used, c.held = a.Used, a.Held
-}
-
 // memberOf returns the member that a report is from.
 func (g *grantor) memberOf(r *report, now time.Duration) (*member, error) {
 	m := g.members[r.Host]
@@ -203,12 +185,12 @@
 // newGroup returns the group of a list of leaders that has come into use, and takes off
 // the buckets what another grantor may have granted.
 func (g *grantor) newGroup(r *report, now time.Duration) *group {
-	gr := &group{leaders: slices.Clone(r.Leaders), address: r.Grantor, settledAt: now + handoverTime}
+	gr := &group{leaders: slices.Clone(r.Leaders), address: r.Grantor, handoverUntil: now + handoverTime}
 	for _, other := range g.groups {
-		gr.before = append(gr.before, &group{leaders: other.leaders, address: other.address})
+		gr.groupsBefore = append(gr.groupsBefore, &group{leaders: other.leaders, address: other.address})
 	}
 	for name, b := range g.buckets {
-		if gr.brings(name) {
+		if gr.mayBeGrantedElsewhere(name) {
 			b.level = min(b.level, handoverSlack*b.limit.slack)
 		}
 	}
@@ -226,7 +208,7 @@
 	for address, m := range g.members {
 		if m.group != nil {
 			from, to := max(g.sweptAt, m.countedFrom), min(now, m.expires)
-			m.group.refill += max(0, (to-from).Seconds()) / all
+			m.group.weightedSeconds += max(0, (to-from).Seconds()) / all
 			if m.expires <= now {
 				g.silence(m, now)
 			}
@@ -324,50 +306,33 @@
 		if len(g.buckets) >= maxBuckets && !g.evict() {
 			return nil, part
 		}
-		b = &bucket{level: capacity(l, part), refilled: g.refillOf(a.Name, now), updatedAt: now}
-		if !g.isSettled(a.Name, now) {
+		b = &bucket{level: capacity(l, part), countedSeconds: g.weightedSecondsOf(a.Name, now), updatedAt: now}
+		if !g.isPastHandover(a.Name, now) {
 			b.level = handoverSlack * l.slack
 		}
 		g.buckets[a.Name] = b
 	}
 	b.limit = l
-	b.refill(g.refillOf(a.Name, now), part, now)
+	b.refill(g.weightedSecondsOf(a.Name, now), part, now)
 	return b, part
 }
 
-// capacity returns how many requests the bucket of an account holds at most, for a part
-// of all hosts. It is at least 1, so that a request has room if it waits.
-func capacity(l limit, part float64) float64 {
-	return max(1, part*l.capacity)
-}
-
-// refill adds to the bucket what the hosts of its groups brought. What is above the
-// capacity, because hosts have left, is lost only as fast as those hosts get it elsewhere.
-// Else the bucket would be empty when they come back.
-func (b *bucket) refill(sum, part float64, now time.Duration) {
-	here := max(0, sum-b.refilled)
-	elsewhere := max(0, (now-b.updatedAt).Seconds()-here)
-	kept := min(b.level-b.limit.refill*elsewhere, capacity(b.limit, 1))
-	b.level = max(kept, min(b.level+b.limit.refill*here, capacity(b.limit, part)))
-	b.refilled, b.updatedAt = sum, now
-}
-
-// refillOf returns the sum of refill of the groups that get their credits of an account
-// here, with that since the last sweep.
-func (g *grantor) refillOf(account string, now time.Duration) float64 {
+// weightedSecondsOf returns the weighted seconds of the groups that get their credits of an
+// account here, with those since the last sweep.
+func (g *grantor) weightedSecondsOf(account string, now time.Duration) float64 {
 	sum := g.part(account) * (now - g.sweptAt).Seconds()
 	for _, gr := range g.groups {
 		if gr.grants(account) {
-			sum += gr.refill
+			sum += gr.weightedSeconds
 		}
 	}
 	return sum
 }
 
-// isSettled reports whether no other grantor has granted credits of an account lately.
-func (g *grantor) isSettled(account string, now time.Duration) bool {
+// isPastHandover reports whether no other grantor has granted credits of an account lately.
+func (g *grantor) isPastHandover(account string, now time.Duration) bool {
 	for _, gr := range g.groups {
-		if now < gr.settledAt && gr.brings(account) {
+		if now < gr.handoverUntil && gr.mayBeGrantedElsewhere(account) {
 			return false
 		}
 	}
@@ -377,11 +342,11 @@
 // changeGroups refills all buckets, and changes the groups.
 func (g *grantor) changeGroups(now time.Duration, change func()) {
 	for name, b := range g.buckets {
-		b.refill(g.refillOf(name, now), g.part(name), now)
+		b.refill(g.weightedSecondsOf(name, now), g.part(name), now)
 	}
 	change()
 	for name, b := range g.buckets {
-		b.refilled = g.refillOf(name, now)
+		b.countedSeconds = g.weightedSecondsOf(name, now)
 	}
 }
 
@@ -424,13 +389,13 @@
 		c = &credits{epoch: a.Epoch, used: max(a.Used, a.Acked)}
 		m.credits[a.Name] = c
 	}
-	b.settle(c, a)
+	b.chargeUsed(c, a)
 	free := b.level - float64(b.reserved)
 	granted := min(a.Waiting, whole(free))
 	left := free - float64(granted)
 	var out accountAnswer
 	if granted < a.Waiting {
-		out = b.deny(a, left, b.limit.refill*part, now)
+		out = b.deny(a, left, b.limit.refillPerSecond*part, now)
 	} else {
 		granted += min(a.Spare, whole(left-part*b.limit.kept()))
 	}
@@ -444,27 +409,3 @@
 	out.Granted = granted
 	return out
 }
-
-// minRate, in requests a second, bounds the times that a grantor tells hosts if hardly
-// any host is in touch.
-const minRate = 0.01
-
-// deny returns the times of the requests of a host that got no credit. Each refused
-// request is promised a token of its own, so that those refused later are told a later
-// time. free is what the bucket holds, in requests.
-func (b *bucket) deny(a *accountReport, free, rate float64, now time.Duration) accountAnswer {
-	gap := seconds(1 / max(minRate, rate))
-	token := seconds((1 - free) / max(minRate, rate))
-	b.promised = min(max(b.promised, now)+time.Duration(min(a.Refused, maxPromised))*gap, now+maxRetryAfter)
-	first := max(b.promised, now+token)
-	denied := max(1, min(a.Waiting, maxPromised))
-	b.promised = min(first+time.Duration(denied)*gap, now+maxRetryAfter)
-	return accountAnswer{TokenIn: token, RetryIn: first - now, Gap: gap}
-}
-
-// maxPromised bounds the requests of one report that are promised a token, so that the
-// times do not overflow.
-const maxPromised = 10_000
-
-// whole returns the whole requests in a number that may be negative.
-func whole(v float64) int { return int(max(0, min(maxCredits, math.Floor(v)))) }
--- a/internal/quota/grantor_test.go
+++ b/internal/quota/grantor_test.go
@@ -116,7 +116,7 @@
 	full := capacity(b.limit, 1)
 	now += 100 * time.Millisecond
 	gr.sweep(now, true)
-	b.refill(gr.refillOf(testAccount, now), 1, now)
+	b.refill(gr.weightedSecondsOf(testAccount, now), 1, now)
 	g.Expect(b.level - float64(b.reserved)).To(BeNumerically("~", full, 1e-9))
 }
 
@@ -172,7 +172,7 @@
 	level := gr.buckets[testAccount].level
 	mustHandle(t, gr, newReport("h", 1002, used), now+hold*16/10)
 	// The refill since h alone was in touch, and with i before.
-	refill := DefaultBounds.limit(10, 10).refill * (0.8*hold.Seconds() + 0.2*hold.Seconds()) / 2
+	refill := DefaultBounds.limit(10, 10).refillPerSecond * (0.8*hold.Seconds() + 0.2*hold.Seconds()) / 2
 	g.Expect(gr.buckets[testAccount].level).To(BeNumerically("~", level+refill, 1e-6))
 }
 
@@ -200,7 +200,7 @@
 			away = name
 		}
 	}
-	g.Expect((&group{leaders: []string{"g"}, address: "g", before: []*group{{leaders: []string{"g", "z"}, address: "g"}}}).brings(away)).To(BeTrue())
+	g.Expect((&group{leaders: []string{"g"}, address: "g", groupsBefore: []*group{{leaders: []string{"g", "z"}, address: "g"}}}).mayBeGrantedElsewhere(away)).To(BeTrue())
 }
 
 // Guards against a grantor that grants the shares of hosts that are cut off, and against
@@ -254,7 +254,7 @@
 	a := mustHandle(t, gr, newReport("h", 1000, waitingFor(waiting)), now).Accounts[0]
 	g.Expect(a.Granted).To(BeNumerically("<", waiting))
 	refused := time.Duration(waiting - a.Granted)
-	g.Expect(a.Gap).To(Equal(seconds(1 / DefaultBounds.limit(10, 10).refill)))
+	g.Expect(a.Gap).To(Equal(seconds(1 / DefaultBounds.limit(10, 10).refillPerSecond)))
 	used := waitingFor(1)
 	used.Used = int64(a.Granted)
 	next := mustHandle(t, gr, newReport("h", 1001, used), now).Accounts[0]
--- a/internal/quota/host.go
+++ b/internal/quota/host.go
@@ -56,13 +56,13 @@
 	limit limit
 	epoch uint64
 
-	held    int // credits
-	expires time.Duration
-	used    int64 // credits used, less refunds
-	acked   int64 // used as the grantor knows it
-	unsure  bool  // the last report that stated the account was not answered
-	refused int   // requests refused without a question since the last report
-	waiting []*waiter
+	held          int // credits
+	expires       time.Duration
+	used          int64 // credits used, less refunds
+	usedAtGrantor int64 // used as the grantor knows it
+	unanswered    bool  // the last report that stated the account was not answered
+	refused       int   // requests refused without a question since the last report
+	waiting       []*waiter
 
 	deniedUntil time.Duration // until then the grantor has no credit
 	retryAt     time.Duration // when the next refused request may have a credit
@@ -124,19 +124,19 @@
 	if now-u.lastUse > spareTime {
 		u.held = 0
 	}
-	if u.held == 0 && u.used == u.acked && !u.unsure && u.refused == 0 && len(u.waiting) == 0 {
+	if u.held == 0 && u.used == u.usedAtGrantor && !u.unanswered && u.refused == 0 && len(u.waiting) == 0 {
 		return accountReport{}, false
 	}
 	return accountReport{
 		Name: u.name, Epoch: u.epoch, RatePerSecond: u.limit.rate, Burst: u.limit.burst,
-		Used: u.used, Acked: u.acked, Held: u.held, Waiting: min(len(u.waiting), maxCredits), Spare: u.spareWanted(now), Refused: min(u.refused, maxCredits),
+		Used: u.used, Acked: u.usedAtGrantor, Held: u.held, Waiting: min(len(u.waiting), maxCredits), Spare: u.spareWanted(now), Refused: min(u.refused, maxCredits),
 	}, true
 }
 
 // learn takes the answer to a report that was sent at a time.
 func (u *use) learn(stated *accountReport, a *accountAnswer, sentAt, hold, now time.Duration) {
 	// The grantor takes credits for waiting requests as used.
-	u.acked, u.unsure = stated.Used+int64(min(a.Granted, stated.Waiting)), false
+	u.usedAtGrantor, u.unanswered = stated.Used+int64(min(a.Granted, stated.Waiting)), false
 	u.refused = max(0, u.refused-stated.Refused)
 	u.dropExpired(now)
 	u.held += a.Granted
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -35,9 +35,10 @@
 	slack float64 // requests
 	spare float64 // credits that hosts may hold in advance
 
-	// capacity and refill, a second, are those of the token bucket. In each Window, it
-	// admits capacity + refill × Window at most, which leaves a part of the slack.
-	capacity, refill float64
+	// capacity and refillPerSecond, in requests, are those of the token bucket. In each
+	// Window, it admits capacity + refillPerSecond × Window at most, which leaves a part of
+	// the slack.
+	capacity, refillPerSecond float64
 }
 
 // limit returns a quota. The bucket holds burst requests at one moment besides the credits
@@ -51,7 +52,7 @@
 	room := sustained - l.rate*window - l.burst + b.Slack
 	l.spare = spareRoom * room
 	l.capacity = max(l.burst+l.spare, bucketSlack*b.Slack)
-	l.refill = (sustained + bucketSlack*b.Slack - l.capacity) / window
+	l.refillPerSecond = (sustained + bucketSlack*b.Slack - l.capacity) / window
 	return l
 }
 
@@ -74,7 +75,7 @@
 	return chosen
 }
 
-// mix spreads the last bytes of a hash over all its bits: those of FNV depend little on
+// mix is the finalizer of MurmurHash3 (Appleby). It spreads the last bytes of a hash over all its bits: those of FNV depend little on
 // them, so similar names would have the same grantor.
 func mix(h uint64) uint64 {
 	h = (h ^ h>>33) * 0xff51afd7ed558ccd
--- a/internal/quota/link.go
+++ b/internal/quota/link.go
@@ -42,7 +42,7 @@
 	lostSince time.Duration
 	// countedUntil is until when the leader may count this host, by the last report.
 	countedUntil time.Duration
-	left         bool // the leader counts this host no more
+	left         bool // the leader no longer counts this host
 }
 
 // sending is a report under way.
@@ -80,14 +80,15 @@
 // maintain looks at accounts and silent hosts.
 func (r *Registry) maintain(ctx context.Context, now time.Duration) {
 	r.mu.Lock()
-	r.logQuiet(now)
+	r.expireUses(now)
 	r.mu.Unlock()
-	r.updateShares(now)
+	r.updatePartGauges(now)
 	r.probeSilentHosts(ctx)
 }
 
-// updateShares updates the metric of what this host grants as a leader.
-func (r *Registry) updateShares(now time.Duration) {
+// updatePartGauges updates the metric of the part of the quotas that this host grants as a
+// leader; its name is share.
+func (r *Registry) updatePartGauges(now time.Duration) {
 	named := r.accounts().named
 	r.grantorMu.Lock()
 	defer r.grantorMu.Unlock()
@@ -211,17 +212,17 @@
 		if u == nil || u.epoch != stated.Epoch {
 			continue
 		}
-		u.unsure = true
+		u.unanswered = true
 		if err == nil && !r.leaving {
 			u.learn(stated, &a.Accounts[i], s.sentAt, s.report.Hold, now)
 		}
-		r.settle(u, err == nil)
+		r.decideWaiting(u, err == nil)
 	}
 }
 
-// settle decides about the requests that wait, after a report was answered or not. The
+// decideWaiting decides about the requests that wait, after a report was answered or not. The
 // caller holds mu.
-func (r *Registry) settle(u *use, answered bool) {
+func (r *Registry) decideWaiting(u *use, answered bool) {
 	var left []*waiter
 	for _, w := range u.waiting {
 		// A request that came during the exchange waits for its own, unless a credit is left.
@@ -243,7 +244,7 @@
 		return
 	}
 	l.lost, l.lostSince = true, now
-	r.options.Logger.WithError(err).WithField("leader", l.address).Warn("quota grantor lost, using the own share")
+	r.options.Logger.WithError(err).WithField("leader", l.address).Warn("quota leader does not answer")
 	r.updateLost()
 }
 
@@ -253,7 +254,7 @@
 		return
 	}
 	l.lost = false
-	r.options.Logger.WithField("leader", l.address).WithField("away", now-l.lostSince).Info("quota grantor regained")
+	r.options.Logger.WithField("leader", l.address).WithField("away", now-l.lostSince).Info("quota leader answers again")
 	r.updateLost()
 }
 
@@ -335,7 +336,7 @@
 		r.noLeader = now
 	}
 	for _, u := range r.uses {
-		u.acked = u.used // the grantors of the old list have charged it
+		u.usedAtGrantor = u.used // the grantors of the old list have charged it
 	}
 	atStart := r.known == nil
 	before := r.links
@@ -370,7 +371,7 @@
 	r.mu.Unlock()
 	for _, q := range last {
 		if _, err := r.ask(q); err != nil {
-			r.options.Logger.WithError(err).Info("quota grantor not told of the end")
+			r.options.Logger.WithError(err).WithField("leader", q.Grantor).Info("quota leader not told that this host stops")
 		}
 	}
 }
--- a/internal/quota/registry.go
+++ b/internal/quota/registry.go
@@ -44,15 +44,15 @@
 	directory atomic.Pointer[directory]
 	wake      chan struct{} // wakes Run; holds one value at most
 
-	mu       sync.Mutex
-	uses     map[string]*use // by account
-	epochs   uint64
-	sequence uint64
-	known    []string // all leaders, sorted
-	leaders  []string // those in use: without leaders that do not answer, unless none does
-	leaving  bool     // the list in use is to be replaced
-	noLeader time.Duration
-	links    map[string]*link
+	mu        sync.Mutex
+	uses      map[string]*use // by account
+	lastEpoch uint64
+	sequence  uint64
+	known     []string // all leaders, sorted
+	leaders   []string // those in use: without leaders that do not answer, unless none does
+	leaving   bool     // the list in use is to be replaced
+	noLeader  time.Duration
+	links     map[string]*link
 
 	grantorMu sync.Mutex
 	grantor   *grantor
@@ -186,8 +186,8 @@
 		if r.accounts().named[of.Name] {
 			name = of.Name
 		}
-		r.epochs++
-		u = &use{name: of.Name, epoch: r.epochs, position: rand.Float64(), metrics: newAccountMetrics(r.options.Scope, name)}
+		r.lastEpoch++
+		u = &use{name: of.Name, epoch: r.lastEpoch, position: rand.Float64(), metrics: newAccountMetrics(r.options.Scope, name)}
 		r.uses[of.Name] = u
 	}
 	u.limit = r.options.Bounds.limit(of.RatePerSecond, of.Burst)
@@ -199,7 +199,7 @@
 func (r *Registry) decide(u *use, final bool) *admission {
 	now := r.options.Clock()
 	l := r.links[chooseGrantor(r.leaders, u.name)]
-	answers := l != nil && !l.lost && !r.leaving
+	grantorAnswers := l != nil && !l.lost && !r.leaving
 	switch {
 	case u.takeCredit(now):
 		if l != nil {
@@ -207,15 +207,15 @@
 		}
 		r.wakeUp()
 		return r.admit(u, func() { u.used-- })
-	case answers && now < u.deniedUntil:
+	case grantorAnswers && now < u.deniedUntil:
 		if !final {
-			u.refused++
+			u.refused++ // one that has waited was stated to the grantor as waiting
 		}
 		return r.refuse(u, &ExceededError{Account: u.name, RetryAfter: u.retryAfter(now)})
-	case !final && (answers || r.leaving):
+	case !final && (grantorAnswers || r.leaving):
 		return nil
-	case answers || r.leaving: // not answered in time, or the list of leaders changes
-		return r.refuse(u, &ExceededError{Account: u.name, RetryAfter: lostRetry, OwnShare: true})
+	case grantorAnswers || r.leaving: // not answered in time, or the list of leaders changes
+		return r.refuse(u, &ExceededError{Account: u.name, RetryAfter: lostRetry, WithoutGrantor: true})
 	}
 	ok, retryAfter := u.takeShare(r.outageOf(l), now)
 	if ok {
@@ -227,7 +227,7 @@
 	} else if soon {
 		retryAfter = lostRetry
 	}
-	return r.refuse(u, &ExceededError{Account: u.name, RetryAfter: max(lostRetry, retryAfter), OwnShare: true})
+	return r.refuse(u, &ExceededError{Account: u.name, RetryAfter: max(lostRetry, retryAfter), WithoutGrantor: true})
 }
 
 // mayAnswerSoon reports whether a leader that does not answer may be stalled only, or be
@@ -240,8 +240,8 @@
 	return now < l.countedUntil
 }
 
-// outageOf returns since when a host has been without an answer of a leader, nil if there
-// is none. The caller holds mu.
+// outageOf describes the outage of the leader of a link; l is nil if there is no leader. The
+// caller holds mu.
 func (r *Registry) outageOf(l *link) outage {
 	if l == nil {
 		return outage{since: r.noLeader, countedUntil: r.noLeader, hosts: r.hostCount()}
@@ -270,15 +270,15 @@
 	if !u.refusing {
 		u.refusing = true
 		r.options.Logger.WithFields(log.Fields{
-			"account": u.name, "per_second": u.limit.rate, "burst": u.limit.burst, "own_share": err.OwnShare, "hosts": r.hostCount(),
+			"account": u.name, "per_second": u.limit.rate, "burst": u.limit.burst, "without_grantor": err.WithoutGrantor, "hosts": r.hostCount(),
 		}).Info("account reached its quota")
 	}
 	return &admission{err: err}
 }
 
-// logQuiet logs the accounts that are below their quotas again, and forgets accounts
-// that the routing table no longer has. The caller holds mu.
-func (r *Registry) logQuiet(now time.Duration) {
+// expireUses logs the accounts that are below their quotas again, and forgets those that
+// the routing table no longer has. The caller holds mu.
+func (r *Registry) expireUses(now time.Duration) {
 	known := r.accounts().byName
 	for name, u := range r.uses {
 		if u.refusing && now-u.lastRefused > quietTime {
--- a/internal/quota/registry_test.go
+++ b/internal/quota/registry_test.go
@@ -58,7 +58,7 @@
 		}
 		wait.Wait()
 		l := DefaultBounds.limit(5, 5)
-		g.Expect(refused).To(BeNumerically(">=", 60-int(l.capacity+l.refill*waitTimeout.Seconds())))
+		g.Expect(refused).To(BeNumerically(">=", 60-int(l.capacity+l.refillPerSecond*waitTimeout.Seconds())))
 		g.Expect(again).To(BeNumerically("<=", refused/20), "refused again")
 		f.finish()
 	})
--- a/internal/ratelimit/ask.go
+++ b/internal/ratelimit/ask.go
@@ -254,8 +254,8 @@
 	return decoded.Permissions, nil
 }
 
-// NoGrantorError reports that a data centre has no host that grants permits, or that this
-// host is none.
+// NoGrantorError reports that a data centre has no leader to grant permits, or that this host
+// does not lead it.
 type NoGrantorError struct{}
 
 // Error implements error.
--- a/internal/ratelimit/warmup.go
+++ b/internal/ratelimit/warmup.go
@@ -222,9 +222,9 @@
 	return r.coldLocked(replica) != nil
 }
 
-// RetryIn returns the time until there may be a permit for a cold replica; 0: the replica is
+// ColdPermitIn returns the time until there may be a permit for a cold replica; 0: the replica is
 // not cold.
-func (r *Registry) RetryIn(replica wire.ReplicaID) time.Duration {
+func (r *Registry) ColdPermitIn(replica wire.ReplicaID) time.Duration {
 	if !r.Cold(replica) {
 		return 0
 	}
--- a/internal/ratelimit/warmup_test.go
+++ b/internal/ratelimit/warmup_test.go
@@ -153,12 +153,12 @@
 	g.Expect(r.Limited(testReplica)).To(BeTrue())
 	g.Expect(r.Allows(testReplica)).To(BeFalse(), "no permit")
 	g.Expect(r.Take(testReplica)).To(BeFalse())
-	g.Expect(r.RetryIn(testReplica)).To(BeNumerically(">", 0))
+	g.Expect(r.ColdPermitIn(testReplica)).To(BeNumerically(">", 0))
 	*now += 5 * time.Second
 	r.SetWarmUps(warmUpOf(1, 10*time.Second))
 	*now += 5 * time.Second
 	g.Expect(r.Allows(testReplica)).To(BeTrue(), "its time is over")
-	g.Expect(r.RetryIn(testReplica)).To(BeZero())
+	g.Expect(r.ColdPermitIn(testReplica)).To(BeZero())
 	r.SetWarmUps(warmUpOf(1, 10*time.Second))
 	g.Expect(r.Cold(testReplica)).To(BeFalse())
 	r.SetWarmUps(warmUpOf(2, 10*time.Second))
--- a/internal/scatter/options.go
+++ b/internal/scatter/options.go
@@ -40,13 +40,13 @@
 	// It is called for every candidate of an attempt and must not block. If nil,
 	// replicas are judged by their replies alone.
 	EstimateWait func(wire.ReplicaID) (wait time.Duration, usable bool)
-	// Uncertainty returns how far EstimateWait may be off for a replica that states its
-	// load; false: it states none. If nil, no replica does.
+	// Uncertainty returns how far EstimateWait may be off because of requests of other
+	// hosts; false: no replica of the shard has stated a load. If nil, none has.
 	Uncertainty func(wire.ReplicaID) (uncertainty time.Duration, stated bool)
 	// RateLimited reports whether a replica advertises a rate limit. If nil, none does.
 	RateLimited func(wire.ReplicaID) bool
-	// PermitIn returns the time until a rate limited replica may have a permit for a request;
-	// 0: it is not known. If nil, it never is.
+	// PermitIn returns the time until a cold replica may have a permit for a request; 0: it
+	// is not known, or the replica is not cold. If nil, it never is.
 	PermitIn func(wire.ReplicaID) time.Duration
 	// BackoffOf returns for how long a replica wants no requests from this host; 0: it takes
 	// them. If nil, all replicas do.
--- a/internal/scatter/query.go
+++ b/internal/scatter/query.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -118,33 +117,15 @@
 		notRun := &NotRunError{Reason: reason, Coverage: q.coverage()}
 		switch reason {
 		case wire.ReasonBackoff:
-			notRun.RetryAfter = q.timeToBackoffEnd()
+			notRun.RetryAfter = q.timeToUsable(q.engine.options.BackoffOf)
 		case wire.ReasonRateLimited:
-			notRun.RetryAfter = q.timeToPermits()
+			notRun.RetryAfter = q.timeToUsable(q.engine.options.PermitIn)
 		}
 		return nil, notRun
 	}
 	return q, nil
 }
 
-// timeToPermits returns the time until all parts without a usable replica may have a permit for
-// one; 0: it is not known.
-func (q *query) timeToPermits() time.Duration {
-	var longest time.Duration
-	for i := range q.parts {
-		var least time.Duration
-		for _, r := range q.parts[i].shard.replicas {
-			if wait := q.engine.options.PermitIn(r.id); wait > 0 && (least == 0 || wait < least) {
-				least = wait
-			}
-		}
-		if least > longest && !slices.ContainsFunc(q.parts[i].shard.replicas, q.isReachable) {
-			longest = least
-		}
-	}
-	return longest
-}
-
 // planParts splits the query into parts by the current table.
 func (q *query) planParts() {
 	q.parts, q.unassigned = plan(q.table, q.request.Ledgers, q.repeatable)
@@ -274,7 +255,7 @@
 	case !q.answered && !q.mayHaveRun:
 		notRun := &NotRunError{Reason: q.mainReason(), Coverage: coverage, Work: q.work, LoadSignals: q.loadSignals}
 		if notRun.Reason == wire.ReasonRateLimited {
-			notRun.RetryAfter = q.timeToPermits()
+			notRun.RetryAfter = q.timeToUsable(q.engine.options.PermitIn)
 		}
 		return nil, notRun
 	case !q.answered:
--- a/internal/scatter/selection.go
+++ b/internal/scatter/selection.go
@@ -55,7 +55,7 @@
 			ledgers += q.parts[i].needed.Len()
 		case q.unreachableReason(&q.parts[i]) == wire.ReasonRateLimited:
 			obstacle = wire.ReasonRateLimited
-		case q.backoffOfShard(&q.parts[i]) > 0:
+		case leastTimeLeft(&q.parts[i], q.engine.options.BackoffOf) > 0:
 			backsOff = true
 		}
 	}
@@ -68,25 +68,25 @@
 	return obstacle
 }
 
-// backoffOfShard returns the time after which a replica of a part takes requests again, if
-// this host can use none of them and one wants no requests for a time; else 0.
-func (q *query) backoffOfShard(p *part) time.Duration {
+// leastTimeLeft returns the least time left of the replicas of a part, of those that have one;
+// 0: none has.
+func leastTimeLeft(p *part, timeLeft func(wire.ReplicaID) time.Duration) time.Duration {
 	var least time.Duration
 	for _, r := range p.shard.replicas {
-		if backoff := q.engine.options.BackoffOf(r.id); backoff > 0 && (least == 0 || backoff < least) {
-			least = backoff
+		if left := timeLeft(r.id); left > 0 && (least == 0 || left < least) {
+			least = left
 		}
 	}
 	return least
 }
 
-// timeToBackoffEnd returns the time after which all shards whose replicas ask to back off have
-// a usable one again.
-func (q *query) timeToBackoffEnd() time.Duration {
+// timeToUsable returns the time until all parts without a usable replica may have one, by the
+// time left of each replica; 0: it is not known.
+func (q *query) timeToUsable(timeLeft func(wire.ReplicaID) time.Duration) time.Duration {
 	var longest time.Duration
 	for i := range q.parts {
 		if p := &q.parts[i]; !slices.ContainsFunc(p.shard.replicas, q.isReachable) {
-			longest = max(longest, q.backoffOfShard(p))
+			longest = max(longest, leastTimeLeft(p, timeLeft))
 		}
 	}
 	return longest
@@ -106,8 +106,8 @@
 }
 
 // leastEstimate returns the candidate with the least score, one of those at random. A host
-// that sends to replicas directly counts its own requests at once, so that it needs no
-// random leaving out of the best one, which costs a way to another data centre.
+// that sends to replicas directly counts its own requests at once, so that it
+// need not avoid the best one at random, which often chose one in another data centre.
 func (q *query) leastEstimate(p *part, exclude uint64, now time.Time) *replicaState {
 	var (
 		chosen *replicaState
