--- a/internal/tools/balancesim/host.go
+++ b/internal/tools/balancesim/host.go
@@ -11,7 +11,6 @@
 
 // The estimate of a host follows internal/owner/estimate.go with these constants.
 const (
-	serviceClip   = 2
 	minOverdue    = 30 * time.Millisecond
 	pauseTime     = 125 * time.Millisecond // usual length of a pause
 	overdueFactor = 3
