review: case 6, a proper request is refused for 24 hours after an outage

All three replicas of its service crash once at the same moment while they run copies of one proper request, and are back 2.5 s later. The request is a suspect from then on; each later copy is a trial that must end within 1.7 s, but the request takes 2.5 s. A run that is merely cut off counts as a trial, and after three of them all hosts refuse the request for 24 hours.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -34,6 +34,7 @@
 var cases = map[string]func(*rig) int{
 	"forgotten-request": forgottenRequest,
 	"overwritten-entry": overwrittenEntry,
+	"refused-page":      refusedPage,
 	"pair":              pairOfRequests,
 }
 
--- a/review/rig/replica.go
+++ b/review/rig/replica.go
@@ -156,3 +156,10 @@
 	w.Header().Set("X-Not-Executed", "1")
 	w.WriteHeader(code)
 }
+
+// currentID returns the id of the present incarnation.
+func (r *replica) currentID() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.id
+}
