--- a/review/rig/forgotten.go
+++ b/review/rig/forgotten.go
@@ -55,7 +55,7 @@
 // forgottenRequest: copies of a request that crashes replicas arrive at all hosts at once;
 // then all processes are killed, and the copies come again.
 func forgottenRequest(r *rig) int {
-	if err := r.setUp(cardsConfig(), "", func() error { return r.startCards(cardWork) }); err != nil {
+	if err := r.setUp(cardsConfig(), func() error { return r.startCards(cardWork) }); err != nil {
 		return r.notRun("%v", err)
 	}
 	if !awaitReady(r.hosts, 10*time.Second) {
--- a/review/rig/hosts.go
+++ b/review/rig/hosts.go
@@ -15,21 +15,20 @@
 
 // host is one entry host: a process of the system with its settings.
 type host struct {
-	name, zone, ip       string
-	front, ready, peer   string // addresses
-	settings, program    string // paths
-	log                  *record
-	logFile              *os.File
-	mu                   sync.Mutex
-	process              *exec.Cmd
-	startedAt, stoppedAt time.Time
+	name, zone, ip     string
+	front, ready, peer string // addresses
+	settings, program  string // paths
+	log                *record
+	logFile            *os.File
+	mu                 sync.Mutex
+	process            *exec.Cmd
 }
 
 // hostZones are the zones of the hosts, as on the small deployment ganna-rota.
 var hostZones = []string{"badin", "badin", "badin", "thatta", "thatta", "thatta", "tando", "tando"}
 
-// newHosts writes the settings of all hosts. storeAddr is the store's address of a host.
-func newHosts(log *record, dir, program, ipPrefix string, storeAddr func(i int) string, extraBounds string) ([]*host, error) {
+// newHosts writes the settings of all hosts into a folder.
+func newHosts(log *record, dir, program, ipPrefix, storeAddr string) ([]*host, error) {
 	hosts := make([]*host, len(hostZones))
 	var seeds []string
 	for i, zone := range hostZones {
@@ -47,9 +46,9 @@
 		}
 		hosts[i] = h
 	}
-	for i, h := range hosts {
+	for _, h := range hosts {
 		h.settings = filepath.Join(dir, h.name+".toml")
-		text := fmt.Sprintf(settingsText, h.name, h.ip, h.zone, strings.Join(seeds, ","), h.front, h.ready, h.peer, extraBounds, storeAddr(i))
+		text := fmt.Sprintf(settingsText, h.name, h.ip, h.zone, strings.Join(seeds, ","), h.front, h.ready, h.peer, storeAddr)
 		if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 			return nil, err
 		}
@@ -73,7 +72,7 @@
 seeds = [%s]
 bootstrap = true
 heartbeat_ms = 1200
-contracts = ["base","drain","config","cost","retry","recover","scatter","platform","tenants","quota"]
+contracts = ["base","drain","config","cost","retry","recover","scatter","platform"]
 [listen_addrs]
 front = "%s"
 ready = "%s"
@@ -93,7 +92,6 @@
 budget_window_s = 10
 budget_slack = 56
 recover_s = 12
-%s
 [platform]
 address = "%s"
 form = "kv"
@@ -113,7 +111,7 @@
 		return err
 	}
 	h.mu.Lock()
-	h.process, h.startedAt = cmd, time.Now()
+	h.process = cmd
 	h.mu.Unlock()
 	h.log.printf("start  %s", h.name)
 	return nil
@@ -137,7 +135,6 @@
 	h.mu.Unlock()
 	if process != nil {
 		_ = process.Wait()
-		h.stoppedAt = time.Now()
 	}
 }
 
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -91,9 +91,9 @@
 	return exitNotRun
 }
 
-// setUp starts the store and the hosts with a first configuration. prepare writes what
-// else the store holds before the hosts start.
-func (r *rig) setUp(config map[string]any, extraBounds string, prepare func() error) error {
+// setUp starts the store and the hosts with a first configuration. prepare starts the
+// replicas, before the hosts.
+func (r *rig) setUp(config map[string]any, prepare func() error) error {
 	var err error
 	if r.store, err = newStore(r.ip + ".200"); err != nil {
 		return err
@@ -102,7 +102,7 @@
 	if err := prepare(); err != nil {
 		return err
 	}
-	r.hosts, err = newHosts(r.log, r.temp, r.program, r.ip, func(int) string { return r.store.addr() }, extraBounds)
+	r.hosts, err = newHosts(r.log, r.temp, r.program, r.ip, r.store.addr())
 	if err != nil {
 		return err
 	}
--- a/review/rig/overwritten.go
+++ b/review/rig/overwritten.go
@@ -18,7 +18,7 @@
 		"name": "notices", "max_connections": 110, "health_check_path": "/health",
 	})
 	var notices []*replica
-	err := r.setUp(config, "", func() error {
+	err := r.setUp(config, func() error {
 		for _, zone := range []string{"badin", "thatta", "tando"} {
 			n, err := startReplica(r.store, r.log, r.ip+".201", "notices", zone, 6, cardWork)
 			if err != nil {
--- a/review/rig/pair.go
+++ b/review/rig/pair.go
@@ -19,7 +19,7 @@
 // pairOfRequests: two requests that crash replicas come together, some seconds apart, at all
 // hosts at once. Without trouble, one of them comes alone.
 func pairOfRequests(r *rig) int {
-	if err := r.setUp(cardsConfig(), "", func() error { return r.startCards(cardWork) }); err != nil {
+	if err := r.setUp(cardsConfig(), func() error { return r.startCards(cardWork) }); err != nil {
 		return r.notRun("%v", err)
 	}
 	if !awaitReady(r.hosts, 10*time.Second) {
--- a/review/rig/refused.go
+++ b/review/rig/refused.go
@@ -27,7 +27,7 @@
 // one proper request. Each later copy takes longer than a trial.
 func refusedPage(r *rig) int {
 	var notices []*replica
-	err := r.setUp(cardsConfig(), "", func() error {
+	err := r.setUp(cardsConfig(), func() error {
 		for _, zone := range []string{"badin", "thatta", "tando"} {
 			n, err := startReplica(r.store, r.log, r.ip+".201", "notices", zone, 6, boardWork)
 			if err != nil {
